--- a/src/bin/lupinspoke-simhost/main.rs
+++ b/src/bin/mallowgauge-adapter/main.rs
@@ -6,7 +6,7 @@
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-use lupinspoke::{Action, Event, Micros, QueryId, Router};
+use mallowgauge::{Action, Event, Micros, QueryId, Router};
 use serde_json::Value;
 use wire::{Entry, Fields, Names};
 
@@ -192,7 +192,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("lupinspoke-simhost: {message}");
+            eprintln!("mallowgauge-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/lupinspoke-simhost/wire.rs
+++ b/src/bin/mallowgauge-adapter/wire.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use lupinspoke::{
-    Action, Arrival, Budget, Class, ClassId, Discovery, Effect, Event, Layout, Limits, ListNews, Micros,
-    Outcome, PartArrival, PartId, Phase, QueryId, RuleFigures, ServerEntry, ServerId, Settings, ShardId,
-    ZoneId,
+use mallowgauge::settings::{small, zone, Site};
+use mallowgauge::{
+    Action, Arrival, ClassId, Event, ListNews, Micros, Outcome, PartArrival, PartId, Phase, QueryId,
+    ServerEntry, ServerId, Settings, ShardId,
 };
 use serde_json::Value;
 
@@ -69,11 +69,6 @@
     }
 }
 
-/// The zone of that name; `None` for one that the settings do not name.
-fn zone(zones: &[String], name: &str) -> Option<ZoneId> {
-    zones.iter().position(|known| known == name).and_then(|at| u32::try_from(at).ok()).map(ZoneId)
-}
-
 /// One entry of a numbered list, not yet any instance's.
 pub struct Entry {
     name: String,
@@ -115,10 +110,6 @@
         .collect()
 }
 
-fn small(value: &Value) -> Option<u32> {
-    value.as_u64().and_then(|n| u32::try_from(n).ok())
-}
-
 pub fn list_news(
     f: &Fields,
     lists: &BTreeMap<u64, Vec<Entry>>,
@@ -212,146 +203,13 @@
     })
 }
 
-/// A settings object and the path that leads to it.
-struct Section<'a> {
-    value: &'a Value,
-    path: String,
-}
-
-impl<'a> Section<'a> {
-    fn sub(&self, key: &str) -> Result<Section<'a>, String> {
-        let value = self.value.get(key).filter(|v| v.is_object());
-        let path = format!("{}{key}.", self.path);
-        value.map(|value| Section { value, path }).ok_or_else(|| self.bad(key, "an object"))
-    }
-
-    fn bad(&self, key: &str, what: &str) -> String {
-        let found = if self.value.get(key).is_some() { "is not" } else { "is missing; it should be" };
-        format!("Begin: Env.{}{key} {found} {what}", self.path)
-    }
-
-    fn int(&self, key: &str) -> Result<u64, String> {
-        self.value.get(key).and_then(Value::as_u64).ok_or_else(|| self.bad(key, "a whole number"))
-    }
-
-    fn int32(&self, key: &str) -> Result<u32, String> {
-        self.value.get(key).and_then(small).ok_or_else(|| self.bad(key, "a small whole number"))
-    }
-
-    fn number(&self, key: &str) -> Result<f64, String> {
-        self.value.get(key).and_then(Value::as_f64).ok_or_else(|| self.bad(key, "a number"))
-    }
-
-    fn flag(&self, key: &str) -> Result<bool, String> {
-        self.value.get(key).and_then(Value::as_bool).ok_or_else(|| self.bad(key, "true or false"))
-    }
-
-    fn text(&self, key: &str) -> Result<&'a str, String> {
-        self.value.get(key).and_then(Value::as_str).ok_or_else(|| self.bad(key, "a text"))
-    }
-
-    fn list(&self, key: &str) -> Result<&'a [Value], String> {
-        self.value
-            .get(key)
-            .and_then(Value::as_array)
-            .map(Vec::as_slice)
-            .ok_or_else(|| self.bad(key, "a list"))
-    }
-
-    /// Figures of the classes, in the order of the classes.
-    fn per_class(&self, key: &str, classes: usize) -> Result<Vec<f64>, String> {
-        let list = self.list(key)?;
-        if list.len() != classes {
-            return Err(self.bad(key, "as long as Classes"));
-        }
-        list.iter().map(|v| v.as_f64().ok_or_else(|| self.bad(key, "a list of numbers"))).collect()
-    }
-}
-
+/// The settings of an instance, and the names that go with them.
 pub fn settings(env: &Value) -> Result<(Settings, Names), String> {
-    if !env.is_object() {
-        return Err("Begin: Env is not an object".to_owned());
-    }
-    let env = Section { value: env, path: String::new() };
-    let (family, limits, rules) = (env.sub("FamilyInfo")?, env.sub("Limits")?, env.sub("Safety")?);
-    let list = env.list("Classes")?;
-    let floor = family.per_class("ClassFloor", list.len())?;
-    let need = family.per_class("CompleteFrom", list.len())?;
-    let partial = family.per_class("ClassPartial", list.len())?;
-    let second = family.per_class("FollowUp", list.len())?;
-    let mut classes = Vec::new();
-    let listed = env.value.get("Azs").and_then(Value::as_array);
-    let zones: Vec<String> =
-        listed.into_iter().flatten().filter_map(|name| name.as_str().map(str::to_owned)).collect();
-    let answers = second.iter().map(|&parts| if parts > 0.0 { 2 } else { 1 }).collect();
-    let mut names =
-        Names { classes: BTreeMap::new(), answers, ids: BTreeMap::new(), servers: Vec::new(), zones };
-    for (i, value) in list.iter().enumerate() {
-        let class = Section { value, path: format!("Classes[{i}].") };
-        names.classes.insert(class.text("Name")?.to_owned(), i);
-        classes.push(Class {
-            aim: class.int("AimUs")?,
-            aim_stretch: class.number("AimStretch").unwrap_or(0.0),
-            deadline: class.int("DeadlineUs")?,
-            late_worth: class.number("LateValue")?,
-            effect: match class.text("Semantics")? {
-                "free" => Effect::Safe,
-                "guarded" => Effect::Keyed(class.int("WindowUs")?),
-                "single_shot" => Effect::Unsafe,
-                _ => return Err(class.bad("Semantics", "one of free, guarded, single_shot")),
-            },
-            floor: floor[i],
-            need: need[i],
-            partial_worth: partial[i],
-            second_step: second[i] as u32,
-        });
-    }
-    let budget = match rules.value.get("LookBackUs") {
-        Some(Value::Number(_)) if rules.value.get("ResendRatio").is_some_and(Value::is_number) => {
-            Some(Budget {
-                free: rules.number("BudgetFree").unwrap_or(0.0),
-                share: rules.number("ResendRatio")?,
-                window: rules.int("LookBackUs")?,
-            })
-        }
-        _ => None,
-    };
-    let settings = Settings {
-        zone: env.value.get("Az").and_then(Value::as_str).and_then(|name| zone(&names.zones, name)),
-        crossing_costs: env
-            .sub("Charges")
-            .is_ok_and(|c| c.number("CrossZone").is_ok_and(|price| price > 0.0)),
-        routers: env.int32("Instances")?,
-        tick: env.int("TickUs")?,
-        classes,
-        layout: Layout {
-            cells: family.int32("Places")?,
-            reach: family.int32("Width")?,
-            parts_per_call: family.int32("PartsACall")?,
-            call_work: family.int("OverheadUs")?,
-        },
-        limits: Limits {
-            cancel: limits.flag("Cancel")?,
-            probes: limits.flag("Probing")?,
-            second_copies: limits.flag("SecondCopies")?,
-            max_attempts: limits.int32("MaxAttempts")?,
-            max_retry_after: if limits.flag("RetryAfter")? { limits.int("MaxRetryAfterUs")? } else { 0 },
-        },
-        rules: RuleFigures {
-            cold_from: rules.number("ColdFrom")?,
-            warm_within: rules.int("WarmWithinUs")?,
-            tip_multiple: rules.number("TipMultiple")?,
-            fall_window: rules.int("FallUs")?,
-            budget,
-            ask_within: rules.int("AskWithinUs").unwrap_or(0),
-        },
-        discovery: match env.text("MembershipMode")? {
-            "automatic" => Discovery::Push,
-            "subscribe" => Discovery::Ask,
-            _ => return Err(env.bad("MembershipMode", "one of automatic, subscribe")),
-        },
-    };
-    Ok((settings, names))
+    let site = Site::read(env).map_err(|e| format!("Begin: Env{e}"))?;
+    let answers = site.settings.classes.iter().map(|c| if c.second_step > 0 { 2 } else { 1 }).collect();
+    let classes = site.classes.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
+    let names = Names { classes, answers, ids: BTreeMap::new(), servers: Vec::new(), zones: site.zones };
+    Ok((site.settings, names))
 }
 
 pub fn write(out: &mut String, router: u64, action: &Action, names: &Names) {
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,155 @@
+//! What a gatherer is told at its start: the environment, the platform's file, the operator's file.
+
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, ToSocketAddrs};
+
+use serde_json::Value;
+
+use crate::core::Bounds;
+use crate::interface::Micros;
+use crate::settings::{Section, Site};
+
+/// Figures for connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Links {
+    /// Hosts close a connection that stood idle for so long.
+    pub idle: Micros,
+    /// A connection that is not up by then is given up.
+    pub dial: Micros,
+    /// Most parts that one connection carries at a time.
+    pub streams: usize,
+    /// Most parts in a call.
+    pub parts_a_call: usize,
+    /// Most descriptors that the process may hold.
+    pub sockets: usize,
+}
+
+/// The Flight front, where an operator has set it up.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Flight {
+    /// Where Flight clients connect.
+    pub listen: Option<SocketAddr>,
+    /// The hosts that offer Flight, by their ids.
+    pub hosts: BTreeSet<String>,
+    /// Every host offers it.
+    pub every_host: bool,
+}
+
+/// All that a gatherer is told.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// The settings.
+    pub site: Site,
+    /// Bounds of the core.
+    pub bounds: Bounds,
+    /// Figures for connections.
+    pub links: Links,
+    /// The list of hosts as this gatherer last had it.
+    pub known: Value,
+    /// The second front.
+    pub flight: Flight,
+}
+
+/// Descriptors held where the platform states no limit.
+const SOCKETS: u64 = 1024;
+/// Too few for a listener, discovery, a host and a client with room to move.
+const FEWEST_SOCKETS: usize = 32;
+
+fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
+    let found = text.to_socket_addrs().ok().and_then(|mut all| all.next());
+    found.ok_or_else(|| format!("{what} {text} is not an address with a port"))
+}
+
+impl Config {
+    /// Reads the platform's file, which `RELAY_CONFIG` names, and the operator's, if one is named.
+    /// `RELAY_NAME`, `RELAY_LISTEN` and `RELAY_DISCOVERY` stand in for what the file leaves out.
+    ///
+    /// # Errors
+    /// One line that says what is wrong.
+    pub fn load(variable: impl Fn(&str) -> Option<String>, operator: Option<&str>) -> Result<Self, String> {
+        let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
+        let flight = operator.map_or(Ok(Flight::default()), |path| flight(&file(path)?, path))?;
+        Self::read(&file(&path)?, variable, flight).map_err(|e| format!("{path}: {e}"))
+    }
+
+    fn read(all: &Value, variable: impl Fn(&str) -> Option<String>, flight: Flight) -> Result<Self, String> {
+        let text = |key: &str, name: &str| {
+            let value = all.get(key).and_then(Value::as_str).map(str::to_owned);
+            value.or_else(|| variable(name)).ok_or_else(|| format!("{key} is missing"))
+        };
+        let settings = all.get("settings").ok_or("settings is missing")?;
+        let site = Site::read(settings).map_err(|e| format!("settings{e}"))?;
+        site.settings.validate().map_err(|e| e.to_string())?;
+        let root = Section::root(settings)?;
+        let inner = |part: &str, key: &str| {
+            let found = root.sub(part).and_then(|section| section.int(key));
+            found.map_err(|e| format!("settings{e}"))
+        };
+        let small = |part: &str, key: &str| {
+            let value = usize::try_from(inner(part, key)?).ok().filter(|&n| n > 0);
+            value.ok_or_else(|| format!("settings.{part}.{key} is zero or far too large"))
+        };
+        let shards = u32::try_from(small("FamilyInfo", "Shards")?).map_err(|e| e.to_string())?;
+        let sockets = all
+            .pointer("/limits/sockets")
+            .map_or(Ok(SOCKETS), |v| v.as_u64().ok_or("limits.sockets is not a whole number"))?
+            as usize;
+        if sockets < FEWEST_SOCKETS {
+            return Err(format!("limits.sockets is below {FEWEST_SOCKETS}"));
+        }
+        let seed = all.get("seed").and_then(Value::as_str).ok_or("seed is missing")?;
+        let known = all.get("known").ok_or("known is missing")?;
+        crate::discovery::parse(known).map_err(|e| format!("known: {e}"))?;
+        Ok(Self {
+            name: text("name", "RELAY_NAME")?,
+            listen: address(&text("listen", "RELAY_LISTEN")?, "listen")?,
+            discovery: address(&text("discovery", "RELAY_DISCOVERY")?, "discovery")?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| "seed is not hex digits")?,
+            bounds: Bounds { max_open: small("Limits", "MaxOpen")?, shards },
+            links: Links {
+                idle: inner("Limits", "ConnIdleUs")?,
+                dial: inner("Limits", "DialTimeoutUs")?,
+                streams: small("Limits", "MaxStreams")?,
+                parts_a_call: site.settings.layout.parts_per_call as usize,
+                sockets,
+            },
+            known: known.clone(),
+            site,
+            flight,
+        })
+    }
+}
+
+fn file(path: &str) -> Result<Value, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+    serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))
+}
+
+/// The operator's file: `{"flight": {"listen": "127.0.0.1:8815", "hosts": ["s-5be2a07c"]}}`, where
+/// `"hosts": "all"` names every host.
+fn flight(all: &Value, path: &str) -> Result<Flight, String> {
+    let bad = |what: &str| format!("{path}: {what}");
+    let section = all.get("flight").ok_or_else(|| bad("flight is missing"))?;
+    let listen = match section.get("listen") {
+        None | Some(Value::Null) => None,
+        Some(Value::String(text)) => Some(address(text, "flight.listen").map_err(|e| bad(&e))?),
+        Some(_) => return Err(bad("flight.listen is not a text")),
+    };
+    let (hosts, every_host) = match section.get("hosts") {
+        None | Some(Value::Null) => (BTreeSet::new(), false),
+        Some(Value::String(all)) if all == "all" => (BTreeSet::new(), true),
+        Some(Value::Array(list)) => {
+            let names: Option<_> = list.iter().map(|v| v.as_str().map(str::to_owned)).collect();
+            (names.ok_or_else(|| bad("flight.hosts holds something other than ids"))?, false)
+        }
+        Some(_) => return Err(bad("flight.hosts is neither a list of ids nor \"all\"")),
+    };
+    Ok(Flight { listen, hosts, every_host })
+}
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,259 @@
+//! Discovery: one HTTP/1.1 connection that watches the list of hosts.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use crate::front::http1;
+use crate::interface::*;
+use crate::net::{Handle, ReadEnd, Stream};
+
+/// How long a watch may wait for a change.
+const WATCH_WAIT: Micros = 10_000_000;
+/// Silence after the end of that wait that means failure. What was not told counts as told after 2 s.
+const SILENCE: Micros = 1_800_000;
+/// A call that need not wait gets this long; its turn may come late. The limit there is 6 s.
+const PATIENCE: Micros = 5_000_000;
+/// Longest answer taken: some thousands of hosts.
+const LONGEST: usize = 4 * 1024 * 1024;
+
+/// One host, as discovery tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    /// Its id.
+    pub name: String,
+    /// Where it listens.
+    pub addr: Option<SocketAddr>,
+    /// Its zone.
+    pub zone: Option<String>,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub phase: Phase,
+    /// Its last start, in Unix time.
+    pub started: Option<Micros>,
+}
+
+/// A list, or the changes of one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct List {
+    /// Its version.
+    pub generation: u64,
+    /// Whether it is the whole list.
+    pub reset: bool,
+    /// The hosts.
+    pub hosts: Vec<Host>,
+}
+
+/// Reads a list.
+///
+/// # Errors
+/// Says what is wrong with it.
+pub fn parse(value: &Value) -> Result<List, String> {
+    let generation = value.get("generation").and_then(Value::as_u64).ok_or("generation is missing")?;
+    let reset = value.get("reset").and_then(Value::as_bool).ok_or("reset is missing")?;
+    let list = value.get("instances").and_then(Value::as_array).ok_or("instances is missing")?;
+    let host = |entry: &Value| {
+        let text = |key| entry.get(key).and_then(Value::as_str);
+        let name = text("instanceId").ok_or("an instance has no instanceId")?.to_owned();
+        let phase = match text("lifecycle") {
+            Some("active") => Phase::Ready,
+            Some("leaving") => Phase::Draining,
+            Some("left") => Phase::Gone,
+            _ => return Err(format!("{name}: lifecycle is none of active, leaving, left")),
+        };
+        let addr = text("hostPort").and_then(|addr| addr.parse().ok());
+        let cell = entry.get("cell").and_then(crate::settings::small);
+        if phase != Phase::Gone && (addr.is_none() || cell.is_none()) {
+            return Err(format!("{name}: hostPort or cell makes no sense"));
+        }
+        let started = entry.get("startedAtMs").and_then(Value::as_u64).filter(|&at| at > 0);
+        let started = started.map(|ms| ms.saturating_mul(1000));
+        let zone = text("zone").map(str::to_owned);
+        Ok(Host { name, addr, zone, cell: cell.unwrap_or(0), phase, started })
+    };
+    let hosts = list.iter().map(host).collect::<Result<_, _>>()?;
+    Ok(List { generation, reset, hosts })
+}
+
+/// The names of hosts, with the numbers that the router knows them by.
+#[derive(Debug, Default)]
+pub struct Roster {
+    ids: BTreeMap<String, ServerId>,
+}
+
+impl Roster {
+    /// The number of a host, the same for as long as the program runs.
+    pub fn id(&mut self, name: &str) -> ServerId {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let id = ServerId(u32::try_from(self.ids.len()).unwrap_or(u32::MAX));
+        tracing::info!("host {name} is number {}", id.0);
+        self.ids.insert(name.to_owned(), id);
+        id
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Call {
+    Watch,
+    Fetch,
+}
+
+/// What a step of discovery came to.
+#[derive(Debug, PartialEq)]
+pub enum News {
+    /// A list came.
+    List(List),
+    /// The call failed, or the watch ended.
+    Failed,
+}
+
+/// The connection to discovery, with at most one call on it.
+pub struct Discovery {
+    addr: SocketAddr,
+    stream: Option<Stream>,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    call: Option<Call>,
+    until: Micros,
+    generation: u64,
+    /// A watch has been answered, so the next one has to follow at once.
+    watching: bool,
+    fetch: bool,
+}
+
+impl Discovery {
+    /// No call is made before the router asks for one.
+    #[must_use]
+    pub fn new(addr: SocketAddr, generation: u64) -> Self {
+        Self {
+            addr,
+            stream: None,
+            input: Vec::new(),
+            output: Vec::new(),
+            call: None,
+            until: 0,
+            generation,
+            watching: false,
+            fetch: false,
+        }
+    }
+
+    /// The router asks for changes from now on.
+    pub fn watch(&mut self, now: Micros, handle: &Handle) -> Option<News> {
+        if self.call.is_some() {
+            None
+        } else {
+            self.begin(now, handle, Call::Watch)
+        }
+    }
+
+    /// The router asks for the whole list once.
+    pub fn fetch(&mut self, now: Micros, handle: &Handle) -> Option<News> {
+        if self.call.is_some() {
+            self.fetch = true;
+            return None;
+        }
+        self.begin(now, handle, Call::Fetch)
+    }
+
+    /// When silence means failure.
+    #[must_use]
+    pub fn due(&self) -> Option<Micros> {
+        self.call.map(|_| self.until)
+    }
+
+    /// Looks at the clock.
+    pub fn expire(&mut self, now: Micros) -> Option<News> {
+        self.due().filter(|&until| until <= now).map(|_| self.fail("silent for too long"))
+    }
+
+    fn begin(&mut self, now: Micros, handle: &Handle, call: Call) -> Option<News> {
+        let ask = match call {
+            Call::Watch => format!("?index={}&wait={}", self.generation, WATCH_WAIT / 1000),
+            Call::Fetch => String::new(),
+        };
+        self.call = Some(call);
+        self.until = now + if call == Call::Watch { WATCH_WAIT + SILENCE } else { PATIENCE };
+        self.output = format!("GET /v1/servers{ask} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr).into_bytes();
+        self.input.clear();
+        if self.stream.is_none() {
+            match Stream::dial(handle, self.addr, Gatherer::discovery_ready) {
+                Ok(stream) => self.stream = Some(stream),
+                Err(e) => return Some(self.fail(&e.to_string())),
+            }
+        }
+        self.flush()
+    }
+
+    fn flush(&mut self) -> Option<News> {
+        let stream = self.stream.as_ref()?;
+        match stream.connected() {
+            None => return None,
+            Some(false) => return Some(self.fail("no connection")),
+            Some(true) => {}
+        }
+        match stream.write(&self.output) {
+            Ok(done) => drop(self.output.drain(..done)),
+            Err(e) => return Some(self.fail(&e.to_string())),
+        }
+        None
+    }
+
+    fn fail(&mut self, why: &str) -> News {
+        tracing::warn!("discovery failed: {why}");
+        self.stream = None;
+        self.call = None;
+        self.watching = false;
+        News::Failed
+    }
+
+    /// The socket is ready: the answer is read, and the next watch goes out at once.
+    pub fn ready(&mut self, now: Micros, handle: &Handle) -> Vec<News> {
+        let mut news = Vec::new();
+        if let Some(failed) = self.flush() {
+            return vec![failed];
+        }
+        let Some(stream) = &self.stream else { return news };
+        if stream.connected() != Some(true) {
+            return news;
+        }
+        let end = stream.read(&mut self.input, LONGEST);
+        match http1::response(&self.input, end == ReadEnd::Closed) {
+            Ok(None) if end == ReadEnd::Blocked => {}
+            Ok(Some(response)) if self.call.is_some() => {
+                let list = (response.status == 200)
+                    .then(|| serde_json::from_slice(&response.body).ok())
+                    .flatten()
+                    .and_then(|value: Value| {
+                        parse(&value).map_err(|e| tracing::warn!("discovery: {e}")).ok()
+                    });
+                let Some(list) = list else {
+                    news.push(self.fail(&format!("answer {}", response.status)));
+                    return news;
+                };
+                if response.close || end == ReadEnd::Closed {
+                    self.stream = None;
+                }
+                self.generation = list.generation;
+                let was = self.call.take();
+                self.watching |= was == Some(Call::Watch);
+                news.push(News::List(list));
+                let next = if std::mem::take(&mut self.fetch) {
+                    Some(Call::Fetch)
+                } else {
+                    self.watching.then_some(Call::Watch)
+                };
+                news.extend(next.and_then(|call| self.begin(now, handle, call)));
+            }
+            _ if self.call.is_some() => news.push(self.fail("the connection broke")),
+            _ => self.stream = None,
+        }
+        news
+    }
+}
+
+use crate::gatherer::Gatherer;
--- /dev/null
+++ b/src/front/flight.rs
@@ -0,0 +1,1 @@
+//! The Flight front.
--- /dev/null
+++ b/src/gatherer.rs
@@ -0,0 +1,231 @@
+//! The gatherer: everything that the event loop calls back into, and the loop itself.
+
+use std::time::Duration;
+
+use calloop::signals::{Signal, Signals};
+use calloop::EventLoop;
+
+use crate::config::Config;
+use crate::core::{Asker, Core, Effect};
+use crate::discovery::{self, Discovery, List, News, Roster};
+use crate::front::http;
+use crate::interface::{ListNews, Micros, Phase as HostPhase, ServerEntry};
+use crate::lifecycle::{Lifecycle, Phase};
+use crate::net::{Clock, Handle, Listener};
+use crate::settings::zone;
+use crate::upstream::{Pool, Report};
+
+/// Descriptors kept for what is neither a client nor a host: the loop, discovery, listeners, the log.
+const RESERVED: usize = 16;
+/// How long accepting rests when no more descriptors are to be had.
+const REST: Micros = 50_000;
+
+/// The program's parts.
+pub struct Gatherer {
+    clock: Clock,
+    handle: Handle,
+    lifecycle: Lifecycle,
+    core: Core,
+    http: http::Front,
+    pool: Pool,
+    discovery: Discovery,
+    roster: Roster,
+    zones: Vec<String>,
+    listener: Option<Listener>,
+    /// Accepting rests until then.
+    resting: Option<Micros>,
+}
+
+impl Gatherer {
+    /// Opens the sockets; nothing is taken before [`Gatherer::run`].
+    ///
+    /// # Errors
+    /// One line that says what is wrong.
+    fn start(config: Config, handle: Handle) -> Result<Self, String> {
+        let clock = Clock::start();
+        let zones = config.site.zones.clone();
+        let core = Core::new(config.seed, config.site, config.bounds).map_err(|e| e.to_string())?;
+        let known = discovery::parse(&config.known).map_err(|e| format!("known: {e}"))?;
+        let room = config.links.sockets.saturating_sub(RESERVED);
+        let listener = Listener::bind(&handle, config.listen, Gatherer::http_accept)
+            .map_err(|e| format!("{}: {e}", config.listen))?;
+        let mut gatherer = Self {
+            clock,
+            lifecycle: Lifecycle::default(),
+            core,
+            http: http::Front::new(room / 2),
+            pool: Pool::new(config.links, config.flight.clone(), room / 4),
+            discovery: Discovery::new(config.discovery, known.generation),
+            roster: Roster::default(),
+            zones,
+            listener: Some(listener),
+            resting: None,
+            handle,
+        };
+        tracing::info!("{} listens on {}", config.name, config.listen);
+        gatherer.list(known, true);
+        Ok(gatherer)
+    }
+
+    /// Runs a gatherer until it is told to end.
+    ///
+    /// # Errors
+    /// One line that says what is wrong.
+    pub fn run(config: Config) -> Result<(), String> {
+        let mut events = EventLoop::<Gatherer>::try_new().map_err(|e| e.to_string())?;
+        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| e.to_string())?;
+        let told = |_, _: &mut (), gatherer: &mut Gatherer| gatherer.terminate();
+        events.handle().insert_source(signals, told).map_err(|e| e.to_string())?;
+        let mut gatherer = Self::start(config, events.handle())?;
+        gatherer.lifecycle.ready();
+        while gatherer.step() != Phase::Stopped {
+            let wait = gatherer.due().map(|at| at.saturating_sub(gatherer.clock.now()));
+            events.dispatch(wait.map(Duration::from_micros), &mut gatherer).map_err(|e| e.to_string())?;
+        }
+        Ok(())
+    }
+
+    /// When something is to be done without any socket's call.
+    fn due(&self) -> Option<Micros> {
+        let all = [
+            self.core.due(),
+            self.pool.due(),
+            self.discovery.due(),
+            self.http.due(),
+            self.lifecycle.due(),
+            self.resting,
+        ];
+        all.into_iter().flatten().min()
+    }
+
+    /// Does all whose time has come.
+    fn step(&mut self) -> Phase {
+        let now = self.clock.now();
+        self.pool.expire(now);
+        self.http.expire(now);
+        if let Some(news) = self.discovery.expire(now) {
+            self.news(news);
+        }
+        if self.resting.is_some_and(|until| until <= now) {
+            self.resting = None;
+            self.http_accept();
+        }
+        self.collect(now);
+        for effect in self.core.turn(now) {
+            self.effect(now, effect);
+        }
+        self.collect(now);
+        let busy = self.core.open() > 0 || self.http.busy();
+        let before = self.lifecycle.phase();
+        let phase = self.lifecycle.step(now, busy);
+        if before == Phase::Draining && phase != Phase::Draining {
+            self.http_accept();
+            self.listener = None;
+        }
+        if phase == Phase::Finishing || phase == Phase::Stopped {
+            self.http.close_idle(now, &mut self.core);
+        }
+        phase
+    }
+
+    /// Hands the core what host connections have reported.
+    fn collect(&mut self, now: Micros) {
+        for report in self.pool.reports() {
+            match report {
+                Report::Ended(id, outcome, value) => self.core.outcome(now, id, outcome, value),
+                Report::Probed(server, passed) => self.core.probed(server, passed),
+            }
+        }
+    }
+
+    fn effect(&mut self, now: Micros, effect: Effect) {
+        match effect {
+            Effect::Call(server, sends) => self.pool.call(now, &self.handle, server, sends),
+            Effect::Abandon(server, attempt) => self.pool.abandon(now, server, attempt),
+            Effect::Probe(server) => self.pool.probe(now, &self.handle, server),
+            Effect::Reply(Asker::Http(id), answer) => self.http.answer(now, id, &answer, &mut self.core),
+            Effect::Reply(Asker::Flight(_), _) => {}
+            Effect::Watch => {
+                let news = self.discovery.watch(now, &self.handle);
+                news.into_iter().for_each(|news| self.news(news));
+            }
+            Effect::Fetch => {
+                let news = self.discovery.fetch(now, &self.handle);
+                news.into_iter().for_each(|news| self.news(news));
+            }
+        }
+    }
+
+    fn news(&mut self, news: News) {
+        match news {
+            News::List(list) => self.list(list, false),
+            News::Failed => self.core.list(ListNews::Failed),
+        }
+    }
+
+    /// A list of hosts, `saved` if it is the one this gatherer started with.
+    fn list(&mut self, list: List, saved: bool) {
+        let now = self.clock.now();
+        let mut entries = Vec::new();
+        for host in &list.hosts {
+            let server = self.roster.id(&host.name);
+            self.pool.update(now, server, host);
+            if host.phase != HostPhase::Ready || host.started.is_some() {
+                tracing::info!("host {} is {:?}, started {:?}", host.name, host.phase, host.started);
+            }
+            let zone = host.zone.as_ref().and_then(|name| zone(&self.zones, name));
+            let (cell, phase, started) = (host.cell, host.phase, host.started);
+            entries.push(ServerEntry { server, cell, phase, started, zone });
+        }
+        self.core.list(match (saved, list.reset) {
+            (true, _) => ListNews::Saved(entries),
+            (false, true) => ListNews::Full(entries),
+            (false, false) => ListNews::Changes(entries),
+        });
+    }
+
+    fn terminate(&mut self) {
+        self.lifecycle.terminate(self.clock.now());
+        self.http.drain();
+    }
+
+    /// Callback: clients wait to be accepted.
+    fn http_accept(&mut self) {
+        let now = self.clock.now();
+        while let Some(listener) = self.listener.as_ref().filter(|_| self.resting.is_none()) {
+            if !self.http.has_room() {
+                tracing::warn!("clients wait: no room for another connection");
+                self.resting = Some(now + REST);
+                return;
+            }
+            match listener.accept() {
+                Ok(Some(socket)) => {
+                    self.lifecycle.accepted(now);
+                    self.http.accept(now, &self.handle, socket);
+                }
+                Ok(None) => return,
+                Err(e) => {
+                    tracing::warn!("clients wait: {e}");
+                    self.resting = Some(now + REST);
+                }
+            }
+        }
+    }
+
+    /// Callback: a client's connection is ready.
+    pub fn http_ready(&mut self, id: u64) {
+        self.http.ready(self.clock.now(), id, &mut self.core);
+    }
+
+    /// Callback: a host's connection is ready.
+    pub fn host_ready(&mut self, id: u64) {
+        self.pool.ready(self.clock.now(), id);
+    }
+
+    /// Callback: the connection to discovery is ready.
+    pub fn discovery_ready(&mut self) {
+        for news in self.discovery.ready(self.clock.now(), &self.handle) {
+            self.news(news);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 //! each part to the replica with the fewest of its own parts out.
 //!
 //! ```
-//! use lupinspoke::*;
+//! use mallowgauge::*;
 //!
 //! let class = Class {
 //!     aim: 200_000, aim_stretch: 0.0, deadline: 600_000, late_worth: 0.1, effect: Effect::Safe,
@@ -52,8 +52,17 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
+pub mod core;
+pub mod discovery;
+pub mod front;
+pub mod gatherer;
 pub mod interface;
+pub mod lifecycle;
+pub mod net;
 mod rules;
+pub mod settings;
+pub mod upstream;
 
 pub use interface::*;
 pub use rules::Router;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -240,8 +240,7 @@
                 Task::Overdue(part, attempt) => self.at_overdue(part, attempt),
                 Task::Resend(part) => self.to_send.push(part),
                 Task::Trial(server) => self.at_trial(server),
-                Task::Ask if self.subscribed => {}
-                Task::Ask => self.out.push(Action::Subscribe),
+                Task::Ask => self.out.extend((!self.subscribed).then_some(Action::Subscribe)),
             }
         }
         self.admit();
@@ -434,13 +433,16 @@
     }
 
     fn refuse(&mut self, id: QueryId) {
-        // Spread, or clients that heed it come back together and the next refusals hit them together.
-        let retry_after =
-            self.rng.as_mut().map_or(0, |rng| rng.u64(0..=self.settings.limits.max_retry_after));
+        let retry_after = self.retry_after();
         self.out.push(Action::Refuse { query: id, retry_after });
         self.end_query(id);
     }
 
+    /// When a refused client may come back: spread, or those that heed it would come back together.
+    pub fn retry_after(&mut self) -> Micros {
+        self.rng.as_mut().map_or(0, |rng| rng.u64(0..=self.settings.limits.max_retry_after))
+    }
+
     // ---- replica and sending ----
 
     fn send_all(&mut self) {
@@ -524,9 +526,8 @@
         if !part.attempts.is_empty() {
             self.extra.push_back(self.now);
         }
-        let attempt = Attempt { server: to, call, sent: self.now, ..Attempt::default() };
         let number = part.attempts.len() as u32;
-        part.attempts.push(attempt);
+        part.attempts.push(Attempt { server: to, call, sent: self.now, ..Attempt::default() });
         // Work that can no longer earn anything should not be begun.
         let useful_end = if class.late_worth > 0.0 { query.end } else { query.aim.min(query.end) };
         let timeout = useful_end.saturating_sub(self.now).max(1);
--- /dev/null
+++ b/src/upstream/mod.rs
@@ -0,0 +1,21 @@
+//! Host connections: the pool, and the wires that hosts are spoken to on.
+
+pub mod flight;
+pub mod frames;
+mod pool;
+
+pub use pool::{Link, Pool};
+
+use std::rc::Rc;
+
+use crate::core::AttemptId;
+use crate::interface::{Outcome, ServerId};
+
+/// What a host connection reports.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Report {
+    /// An attempt has ended, with its value if it was served.
+    Ended(AttemptId, Outcome, Option<Rc<str>>),
+    /// A probe came back.
+    Probed(ServerId, bool),
+}
--- /dev/null
+++ b/src/upstream/pool.rs
@@ -0,0 +1,460 @@
+//! The pool: connections to each host, opened as needed and kept while they are of use.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use crate::config::{Flight, Links};
+use crate::core::{AttemptId, Send};
+use crate::discovery::Host;
+use crate::gatherer::Gatherer;
+use crate::interface::*;
+use crate::net::{Handle, ReadEnd, Stream};
+use crate::upstream::flight::FlightLink;
+use crate::upstream::frames::{self, Said};
+use crate::upstream::Report;
+
+/// A connection is closed after this share of the time after which hosts close it.
+const IDLE_SHARE: f64 = 0.8;
+/// No host is given more connections at a time than this.
+const MOST_A_HOST: usize = 16;
+/// With nothing heard on a connection for so long while something is out, new parts take another.
+const SILENT: Micros = 1_000_000;
+
+#[derive(Debug)]
+struct Place {
+    addr: SocketAddr,
+    flight: bool,
+}
+
+/// Connections to the hosts.
+pub struct Pool {
+    links: Links,
+    flight: Flight,
+    hosts: BTreeMap<ServerId, Place>,
+    connections: BTreeMap<u64, Connection>,
+    next: u64,
+    most: usize,
+    reports: Vec<Report>,
+}
+
+/// A connection on either wire.
+#[allow(clippy::large_enum_variant)] // There are dozens of these, not thousands
+pub enum Link {
+    /// The platform's frames.
+    Frames(FrameLink),
+    /// Arrow Flight.
+    Flight(FlightLink),
+}
+
+struct Connection {
+    server: ServerId,
+    addr: SocketAddr,
+    link: Link,
+}
+
+impl Link {
+    fn load(&self, now: Micros) -> usize {
+        match self {
+            Link::Frames(link) => link.load(now),
+            Link::Flight(link) => link.load(),
+        }
+    }
+
+    fn call(&mut self, now: Micros, sends: Vec<Send>, reports: &mut Vec<Report>) -> bool {
+        match self {
+            Link::Frames(link) => link.call(now, sends, reports),
+            Link::Flight(link) => link.call(now, sends, reports),
+        }
+    }
+
+    fn usable(&self, now: Micros, sends: &[Send]) -> bool {
+        match self {
+            Link::Frames(link) => link.usable(now, sends),
+            Link::Flight(link) => link.usable(now),
+        }
+    }
+
+    fn due(&self, idle: Micros) -> Option<Micros> {
+        match self {
+            Link::Frames(link) => link.due(idle),
+            Link::Flight(link) => link.due(idle),
+        }
+    }
+
+    fn end(&mut self, reports: &mut Vec<Report>) {
+        match self {
+            Link::Frames(link) => link.end(reports),
+            Link::Flight(link) => link.end(reports),
+        }
+    }
+}
+
+impl Pool {
+    /// A pool of at most `most` connections.
+    #[must_use]
+    pub fn new(links: Links, flight: Flight, most: usize) -> Self {
+        let (hosts, connections, reports) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        Self { links, flight, hosts, connections, next: 1, most, reports }
+    }
+
+    /// What discovery tells of a host.
+    pub fn update(&mut self, now: Micros, server: ServerId, host: &Host) {
+        if let Some(addr) = host.addr {
+            let flight = self.flight.every_host || self.flight.hosts.contains(&host.name);
+            self.hosts.insert(server, Place { addr, flight });
+        }
+        if host.phase == Phase::Gone {
+            self.connections.retain(|_, c| c.server != server || c.link.load(now) > 0);
+        }
+    }
+
+    /// What has been reported since the last look.
+    pub fn reports(&mut self) -> Vec<Report> {
+        std::mem::take(&mut self.reports)
+    }
+
+    /// Sends one turn's parts to a host, in as few calls as they fit in.
+    pub fn call(&mut self, now: Micros, handle: &Handle, server: ServerId, mut sends: Vec<Send>) {
+        while !sends.is_empty() {
+            let rest = sends.split_off(sends.len().min(self.links.parts_a_call));
+            match self.connection(now, handle, server, &sends) {
+                Some(id) => self.with(id, |c, reports| c.link.call(now, sends, reports)),
+                None => {
+                    let never = |send: Send| Report::Ended(send.attempt, Outcome::NoRoute, None);
+                    self.reports.extend(sends.into_iter().map(never));
+                }
+            }
+            sends = rest;
+        }
+    }
+
+    fn with(&mut self, id: u64, act: impl FnOnce(&mut Connection, &mut Vec<Report>) -> bool) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if !act(connection, &mut self.reports) {
+            connection.link.end(&mut self.reports);
+            self.connections.remove(&id);
+        }
+    }
+
+    /// A connection with room for these, the emptiest first, or else a new one.
+    fn connection(&mut self, now: Micros, handle: &Handle, server: ServerId, sends: &[Send]) -> Option<u64> {
+        let place = self.hosts.get(&server)?;
+        let (addr, streams) = (place.addr, self.links.streams);
+        let fits = |c: &Connection| {
+            let load = c.link.load(now);
+            c.addr == addr && (load == 0 || load + sends.len() <= streams) && c.link.usable(now, sends)
+        };
+        let held = self.connections.iter().filter(|(_, c)| c.server == server);
+        let found = held.clone().filter(|(_, c)| fits(c)).min_by_key(|(_, c)| c.link.load(now));
+        if let Some((&id, _)) = found {
+            return Some(id);
+        }
+        if held.count() >= MOST_A_HOST || self.connections.len() >= self.most {
+            tracing::warn!("host {}: no connection to spare", server.0);
+            return None;
+        }
+        let (id, until, flight) = (self.next, now + self.links.dial, place.flight);
+        self.next += 1;
+        match Stream::dial(handle, addr, move |g: &mut Gatherer| g.host_ready(id)) {
+            Ok(stream) => {
+                tracing::debug!("host {}: dialling {addr}", server.0);
+                let link = if flight {
+                    Link::Flight(FlightLink::new(server, stream, now, until, addr))
+                } else {
+                    Link::Frames(FrameLink::new(server, stream, now, until))
+                };
+                self.connections.insert(id, Connection { server, addr, link });
+                Some(id)
+            }
+            Err(e) => {
+                tracing::warn!("host {}: no connection: {e}", server.0);
+                None
+            }
+        }
+    }
+
+    /// Nobody waits for an attempt any more.
+    pub fn abandon(&mut self, now: Micros, server: ServerId, attempt: AttemptId) {
+        let held = self.connections.iter().filter(|(_, c)| c.server == server);
+        for id in held.map(|(&id, _)| id).collect::<Vec<_>>() {
+            self.with(id, |c, _| match &mut c.link {
+                Link::Frames(link) => link.abandon(now, attempt),
+                Link::Flight(link) => link.abandon(now, attempt),
+            });
+        }
+    }
+
+    /// Probes a host.
+    pub fn probe(&mut self, now: Micros, handle: &Handle, server: ServerId) {
+        let until = now + self.links.dial;
+        match self.connection(now, handle, server, &[]) {
+            Some(id) => self.with(id, |c, _| match &mut c.link {
+                Link::Frames(link) => link.probe(now, until),
+                Link::Flight(link) => link.probe(now, until),
+            }),
+            None => self.reports.push(Report::Probed(server, false)),
+        }
+    }
+
+    /// A connection's socket is ready.
+    pub fn ready(&mut self, now: Micros, id: u64) {
+        self.with(id, |c, reports| match &mut c.link {
+            Link::Frames(link) => link.ready(now, reports),
+            Link::Flight(link) => link.ready(now, reports),
+        });
+    }
+
+    fn idle(&self) -> Micros {
+        (self.links.idle as f64 * IDLE_SHARE) as Micros
+    }
+
+    /// When a connection has to be looked at.
+    #[must_use]
+    pub fn due(&self) -> Option<Micros> {
+        let idle = self.idle();
+        self.connections.values().filter_map(|c| c.link.due(idle)).min()
+    }
+
+    /// Gives up dials and probes that take too long, and closes connections that stood idle.
+    pub fn expire(&mut self, now: Micros) {
+        let idle = self.idle();
+        let due = |c: &Connection| c.link.due(idle).is_some_and(|at| at <= now);
+        let ids: Vec<u64> = self.connections.iter().filter(|(_, c)| due(c)).map(|(&id, _)| id).collect();
+        for id in ids {
+            self.with(id, |c, reports| match &mut c.link {
+                Link::Frames(link) => link.expire(now, idle, reports),
+                Link::Flight(link) => link.expire(now, idle, reports),
+            });
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Frame {
+    Call(Vec<Send>),
+    GiveUp(String),
+    Probe,
+}
+
+/// A part that was written and not answered.
+#[derive(Debug)]
+struct Out {
+    attempt: AttemptId,
+    sent: Micros,
+    /// The host may keep its place until then.
+    until: Micros,
+    given_up: bool,
+}
+
+/// A connection that carries frames.
+pub struct FrameLink {
+    server: ServerId,
+    stream: Stream,
+    dialling: Option<Micros>,
+    /// Frames of which no byte is written.
+    queue: VecDeque<Frame>,
+    /// The frame that is being written, with the bytes left of it.
+    writing: Option<(Frame, Vec<u8>)>,
+    out: BTreeMap<String, Out>,
+    probes: VecDeque<Micros>,
+    input: Vec<u8>,
+    heard: Micros,
+    /// The last time that something went either way.
+    used: Micros,
+}
+
+impl FrameLink {
+    fn new(server: ServerId, stream: Stream, now: Micros, until: Micros) -> Self {
+        Self {
+            server,
+            stream,
+            dialling: Some(until),
+            queue: VecDeque::new(),
+            writing: None,
+            out: BTreeMap::new(),
+            probes: VecDeque::new(),
+            input: Vec::new(),
+            heard: now,
+            used: now,
+        }
+    }
+
+    fn unwritten<'a>(&'a self) -> impl Iterator<Item = &'a Send> {
+        let writing = self.writing.iter().map(|(frame, _)| frame);
+        let sends = |frame: &'a Frame| if let Frame::Call(sends) = frame { sends.as_slice() } else { &[] };
+        writing.chain(&self.queue).flat_map(sends)
+    }
+
+    fn load(&self, now: Micros) -> usize {
+        self.unwritten().count() + self.out.values().filter(|o| !o.given_up || o.until > now).count()
+    }
+
+    /// Whether new parts may go out on this connection: it is not silent, and no part of the same name
+    /// was given up on it, whose late answer would be taken for the new one's.
+    fn usable(&self, now: Micros, sends: &[Send]) -> bool {
+        let oldest = self.out.values().map(|o| o.sent.max(self.heard)).min();
+        oldest.is_none_or(|at| now < at + SILENT)
+            && !sends.iter().any(|send| self.out.contains_key(&frames::part_name(send)))
+            && !self
+                .unwritten()
+                .any(|held| sends.iter().any(|s| s.query == held.query && s.shard == held.shard))
+    }
+
+    fn call(&mut self, now: Micros, sends: Vec<Send>, reports: &mut Vec<Report>) -> bool {
+        self.used = now;
+        self.queue.push_back(Frame::Call(sends));
+        self.ready(now, reports)
+    }
+
+    fn abandon(&mut self, now: Micros, attempt: AttemptId) -> bool {
+        for frame in &mut self.queue {
+            if let Frame::Call(sends) = frame {
+                sends.retain(|send| send.attempt != attempt);
+            }
+        }
+        self.queue.retain(|frame| !matches!(frame, Frame::Call(sends) if sends.is_empty()));
+        let Some((name, out)) = self.out.iter_mut().find(|(_, o)| o.attempt == attempt) else { return true };
+        out.given_up = true;
+        self.queue.push_back(Frame::GiveUp(name.clone()));
+        self.used = now;
+        self.write(now)
+    }
+
+    fn probe(&mut self, now: Micros, until: Micros) -> bool {
+        self.used = now;
+        self.queue.push_back(Frame::Probe);
+        self.probes.push_back(until);
+        self.write(now)
+    }
+
+    /// Writes what the socket takes; `false` when the connection is over.
+    fn write(&mut self, now: Micros) -> bool {
+        if self.dialling.is_some() {
+            match self.stream.connected() {
+                None => return true,
+                Some(false) => return false,
+                Some(true) => (self.dialling, self.heard) = (None, now),
+            }
+        }
+        loop {
+            if self.writing.is_none() {
+                let Some(frame) = self.queue.pop_front() else { return true };
+                let bytes = match &frame {
+                    Frame::Call(sends) => frames::call(sends),
+                    Frame::GiveUp(part) => frames::give_up(part),
+                    Frame::Probe => frames::probe(),
+                };
+                self.writing = Some((frame, bytes));
+            }
+            let Some((frame, bytes)) = &mut self.writing else { return true };
+            let Ok(done) = self.stream.write(bytes) else { return false };
+            bytes.drain(..done);
+            if !bytes.is_empty() {
+                return true;
+            }
+            if let Frame::Call(sends) = frame {
+                for send in sends.drain(..) {
+                    let (attempt, until) = (send.attempt, now + send.wait);
+                    let out = Out { attempt, sent: now, until, given_up: false };
+                    self.out.insert(frames::part_name(&send), out);
+                }
+            }
+            self.writing = None;
+        }
+    }
+
+    /// Goes on as far as the socket lets it; `false` when the connection is over.
+    fn ready(&mut self, now: Micros, reports: &mut Vec<Report>) -> bool {
+        if !self.write(now) {
+            // What came before the break still counts; a part written whole may have run.
+            self.stream.read(&mut self.input, frames::LONGEST + 4);
+            let _ = self.take(now, reports);
+            return false;
+        }
+        if self.dialling.is_some() {
+            return true;
+        }
+        loop {
+            let held = self.input.len();
+            let end = self.stream.read(&mut self.input, frames::LONGEST + 4);
+            if self.input.len() > held {
+                (self.heard, self.used) = (now, now);
+            }
+            if let Err(why) = self.take(now, reports) {
+                tracing::warn!("host {}: {why}", self.server.0);
+                return false;
+            }
+            match end {
+                ReadEnd::Blocked => return true,
+                ReadEnd::Closed => return false,
+                ReadEnd::Full => {}
+            }
+        }
+    }
+
+    /// Takes the whole frames that have come.
+    fn take(&mut self, now: Micros, reports: &mut Vec<Report>) -> Result<(), &'static str> {
+        while let Some((said, used)) = frames::read(&self.input)? {
+            self.input.drain(..used);
+            match said {
+                Said::End(name, outcome, value) => {
+                    // An answer to no part that is out is that of one given up long ago.
+                    let Some(out) = self.out.remove(&name) else { continue };
+                    if !out.given_up {
+                        let value = (outcome == Outcome::Served).then(|| value.into());
+                        reports.push(Report::Ended(out.attempt, outcome, value));
+                    }
+                }
+                Said::Probe(passed) => {
+                    self.probes.pop_front().ok_or("an answer to no probe")?;
+                    reports.push(Report::Probed(self.server, passed));
+                }
+                Said::Useless(words) => {
+                    tracing::warn!("host {} could not use a frame: {words}", self.server.0);
+                    return Err("the host gives this connection up");
+                }
+            }
+        }
+        self.out.retain(|_, out| !out.given_up || now < out.until + GIVEN_UP_FOR);
+        Ok(())
+    }
+
+    fn due(&self, idle: Micros) -> Option<Micros> {
+        if let Some(until) = self.dialling {
+            return Some(until);
+        }
+        let waiting = self.out.values().any(|out| !out.given_up);
+        let rest = (!waiting && self.queue.is_empty()).then_some(self.used + idle);
+        self.probes.front().copied().into_iter().chain(rest).min()
+    }
+
+    fn expire(&mut self, now: Micros, idle: Micros, reports: &mut Vec<Report>) -> bool {
+        if self.dialling.is_some() {
+            tracing::info!("host {}: no connection in time", self.server.0);
+            return false;
+        }
+        if self.probes.front().is_some_and(|&until| until <= now) {
+            // Answers come in order, so a late one could be taken for the next: the connection goes, or
+            // with parts out on it only this wait.
+            if self.out.values().all(|out| out.given_up) {
+                return false;
+            }
+            self.probes.clear();
+            reports.push(Report::Probed(self.server, false));
+        }
+        let waiting = self.out.values().any(|out| !out.given_up);
+        waiting || self.used + idle > now
+    }
+
+    /// The connection is over: what was not written whole has never run, the rest may have.
+    fn end(&mut self, reports: &mut Vec<Report>) {
+        let never: Vec<AttemptId> = self.unwritten().map(|send| send.attempt).collect();
+        reports.extend(never.into_iter().map(|id| Report::Ended(id, Outcome::NoRoute, None)));
+        let cut = std::mem::take(&mut self.out).into_values().filter(|out| !out.given_up);
+        reports.extend(cut.map(|out| Report::Ended(out.attempt, Outcome::Cut, None)));
+        reports.extend(self.probes.drain(..).map(|_| Report::Probed(self.server, false)));
+    }
+}
+
+/// How long after its time a part given up is still remembered, for its late answer.
+const GIVEN_UP_FOR: Micros = 1_000_000;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -14,7 +14,7 @@
 const PART: &str = "0e6f2b19-eb8a-4746-aa3a-97cf27f007ea";
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lupinspoke-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mallowgauge-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use lupinspoke::*;
+use mallowgauge::*;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/drive.rs
+++ b/tests/drive.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use lupinspoke::*;
+use mallowgauge::*;
 
 struct PartSeen {
     query: u128,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use lupinspoke::*;
+use mallowgauge::*;
 
 fn safe() -> Settings {
     settings(vec![class(Effect::Safe)])
