Add the Flight front and Flight hosts, with one failure suite over both wires

Each part is a DoGet of its own: with one stream a call, a report whose fifth part hung was refused on Flight and given in part over frames (seen in the suite), because a part is in only once its stream has ended.

--- a/src/core.rs
+++ b/src/core.rs
@@ -73,6 +73,8 @@
     Refused {
         /// When to come back; 0 for no advice.
         retry_after: Micros,
+        /// No part of it can have run.
+        untouched: bool,
     },
     /// Given up without a promise.
     Failed(Failure),
@@ -125,6 +127,8 @@
     end: Micros,
     first_part: u128,
     values: Vec<Option<Rc<str>>>,
+    /// Attempts that may have run.
+    may_have_run: u32,
 }
 
 struct Out {
@@ -200,6 +204,11 @@
         self.classes.iter().position(|known| known == name).map(ClassId)
     }
 
+    /// The longest that a client of a class waits.
+    pub fn deadline(&self, class: ClassId) -> Micros {
+        self.router.class(class).deadline
+    }
+
     /// How many queries are open.
     pub fn open(&self) -> usize {
         self.queries.len()
@@ -234,7 +243,7 @@
             return invalid("a query of this id is open");
         }
         if self.queries.len() + self.open_parts + 1 + ask.parts.len() > self.bounds.max_open {
-            return Err(Answer::Refused { retry_after: self.router.retry_after() });
+            return Err(Answer::Refused { retry_after: self.router.retry_after(), untouched: true });
         }
         let query = QueryId(self.next_id);
         let first_part = self.next_id + 1;
@@ -262,7 +271,7 @@
         self.askers.insert(asker, query);
         self.open_parts += ask.parts.len();
         let values = vec![None; ask.parts.len()];
-        self.queries.insert(query, Open { asker, ask, end, first_part, values });
+        self.queries.insert(query, Open { asker, ask, end, first_part, values, may_have_run: 0 });
         Ok(())
     }
 
@@ -278,10 +287,12 @@
     pub fn outcome(&mut self, now: Micros, id: AttemptId, outcome: Outcome, value: Option<Rc<str>>) {
         let Some(out) = self.attempts.remove(&id) else { return };
         self.timeouts.remove(&(out.until, id));
-        if let (Outcome::Served, Some(open)) = (outcome, self.queries.get_mut(&out.query)) {
+        if let Some(open) = self.queries.get_mut(&out.query) {
             let at = (id.part.0 - open.first_part) as usize;
-            if let Some(slot) = open.values.get_mut(at).filter(|slot| slot.is_none()) {
-                *slot = value;
+            match (outcome, open.values.get_mut(at)) {
+                (Outcome::Served, Some(slot @ None)) => *slot = value,
+                (Outcome::NoRoom | Outcome::NoRoute | Outcome::NeverSent, _) => open.may_have_run -= 1,
+                _ => {}
             }
         }
         let took = now.saturating_sub(out.sent);
@@ -348,7 +359,8 @@
                 }
                 Action::Answer { query, whole } => others.extend(self.served(query, whole)),
                 Action::Refuse { query, retry_after } => {
-                    others.extend(self.finish(query, Answer::Refused { retry_after }));
+                    let untouched = self.queries.get(&query).is_some_and(|open| open.may_have_run == 0);
+                    others.extend(self.finish(query, Answer::Refused { retry_after, untouched }));
                 }
                 Action::Fail { query } => {
                     let over = self.queries.get(&query).is_some_and(|open| open.end <= now + END_MARGIN);
@@ -391,7 +403,8 @@
             });
             return None;
         };
-        let open = self.queries.get(&query)?;
+        let open = self.queries.get_mut(&query)?;
+        open.may_have_run += 1;
         let until = now.saturating_add(timeout).min(open.end);
         self.attempts.insert(id, Out { server, query, sent: now, until });
         self.timeouts.insert((until, id));
--- /dev/null
+++ b/src/flight/io.rs
@@ -0,0 +1,111 @@
+//! Lets `h2` read and write a socket of the event loop. No runtime: a connection polls `h2` when its
+//! socket is ready, and again for as long as `h2` asks for that.
+
+use std::io::{self, ErrorKind};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll, Wake, Waker};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::net::Stream;
+
+/// Says whether `h2` wants to be polled again.
+#[derive(Debug, Default)]
+pub struct Flag(AtomicBool);
+
+impl Flag {
+    /// A flag and the waker that raises it.
+    #[must_use]
+    pub fn waker() -> (Arc<Self>, Waker) {
+        let flag = Arc::new(Self::default());
+        (Arc::clone(&flag), Waker::from(flag))
+    }
+
+    /// Lowers the flag and says whether it was up.
+    pub fn take(&self) -> bool {
+        self.0.swap(false, Ordering::Relaxed)
+    }
+}
+
+impl Wake for Flag {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// What is known of a socket behind `h2`'s back.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Bytes have come since the last look.
+    pub heard: AtomicBool,
+    /// `h2` has been told that no more will come.
+    pub over: AtomicBool,
+}
+
+/// A socket as `h2` sees it.
+pub struct Wire {
+    stream: Rc<Stream>,
+    seen: Arc<Seen>,
+    /// How reading ended; told one poll later. What the last bytes said, such as which streams a GOAWAY
+    /// leaves alive, has to reach the streams before the end cuts them all.
+    end: Option<io::Result<()>>,
+}
+
+impl Wire {
+    /// Wraps a connected socket.
+    #[must_use]
+    pub fn new(stream: Rc<Stream>) -> (Self, Arc<Seen>) {
+        let seen = Arc::new(Seen::default());
+        (Self { stream, seen: Arc::clone(&seen), end: None }, seen)
+    }
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if let Some(end) = self.end.take() {
+            self.seen.over.store(true, Ordering::Relaxed);
+            return Poll::Ready(end);
+        }
+        loop {
+            match self.stream.read_once(buffer.initialize_unfilled()) {
+                Ok(n) if n > 0 => {
+                    self.seen.heard.store(true, Ordering::Relaxed);
+                    buffer.advance(n);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Poll::Pending,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                end => {
+                    self.end = Some(end.map(drop));
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        match self.stream.write(bytes) {
+            Ok(0) if !bytes.is_empty() => Poll::Pending,
+            done => Poll::Ready(done),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream.finish();
+        Poll::Ready(Ok(()))
+    }
+}
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -271,7 +271,7 @@
 fn render(answer: &Answer) -> Reply {
     match answer {
         Answer::Served { whole, values } => Reply(200, vec![], query::answer(*whole, values).to_string()),
-        Answer::Refused { retry_after } => {
+        Answer::Refused { retry_after, .. } => {
             let seconds = *retry_after as f64 / 1e6;
             let advice = (*retry_after > 0).then(|| ("Retry-After", format!("{seconds:.3}")));
             Reply(503, advice.into_iter().collect(), error("refused"))
@@ -319,7 +319,7 @@
 
 fn ask(head: &Head, body: &[u8], core: &Core) -> Result<crate::core::Ask, &'static str> {
     let req_id = head.header("req-id").filter(|id| query::is_id(id)).ok_or("Req-Id is missing or odd")?;
-    let class = head.header("req-kind").and_then(|name| core.class(name)).ok_or("Req-Kind is unknown")?;
+    let class = head.header("req-kind").and_then(|name| core.class(name)).ok_or("the class is unknown")?;
     let wait = head.header("req-deadline-ms").and_then(|ms| ms.parse::<u32>().ok());
     let expires_in = Micros::from(wait.ok_or("Req-Deadline-Ms is missing or odd")?) * 1000;
     let retry = head.header("req-retry") == Some("1");
--- a/src/gatherer.rs
+++ b/src/gatherer.rs
@@ -8,7 +8,7 @@
 use crate::config::Config;
 use crate::core::{Asker, Core, Effect};
 use crate::discovery::{self, Discovery, List, News, Roster};
-use crate::front::http;
+use crate::front::{flight, http};
 use crate::interface::{ListNews, Micros, Phase as HostPhase, ServerEntry};
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::net::{Clock, Handle, Listener};
@@ -27,6 +27,8 @@
     lifecycle: Lifecycle,
     core: Core,
     http: http::Front,
+    flight: flight::Front,
+    flight_listener: Option<Listener>,
     pool: Pool,
     discovery: Discovery,
     roster: Roster,
@@ -49,11 +51,16 @@
         let room = config.links.sockets.saturating_sub(RESERVED);
         let listener = Listener::bind(&handle, config.listen, Gatherer::http_accept)
             .map_err(|e| format!("{}: {e}", config.listen))?;
+        let bind =
+            |addr| Listener::bind(&handle, addr, Gatherer::flight_accept).map_err(|e| format!("{addr}: {e}"));
+        let flight_listener = config.flight.listen.map(bind).transpose()?;
         let mut gatherer = Self {
             clock,
             lifecycle: Lifecycle::default(),
             core,
             http: http::Front::new(room / 2),
+            flight: flight::Front::new(room / 8, config.seed),
+            flight_listener,
             pool: Pool::new(config.links, config.flight.clone(), room / 4),
             discovery: Discovery::new(config.discovery, known.generation),
             roster: Roster::default(),
@@ -62,11 +69,19 @@
             resting: None,
             handle,
         };
-        tracing::info!("{} listens on {}", config.name, config.listen);
+        tracing::info!("{} listens on {}", config.name, gatherer.address(&gatherer.listener)?);
+        if gatherer.flight_listener.is_some() {
+            tracing::info!("Flight listens on {}", gatherer.address(&gatherer.flight_listener)?);
+        }
         gatherer.list(known, true);
         Ok(gatherer)
     }
 
+    fn address(&self, listener: &Option<Listener>) -> Result<String, String> {
+        let addr = listener.as_ref().ok_or("no listener")?.addr();
+        addr.map(|addr| addr.to_string()).map_err(|e| e.to_string())
+    }
+
     /// Runs a gatherer until it is told to end.
     ///
     /// # Errors
@@ -92,6 +107,7 @@
             self.pool.due(),
             self.discovery.due(),
             self.http.due(),
+            self.flight.due(),
             self.lifecycle.due(),
             self.resting,
         ];
@@ -103,24 +119,28 @@
         let now = self.clock.now();
         self.pool.expire(now);
         self.http.expire(now);
+        self.flight.expire(now, &mut self.core);
         if let Some(news) = self.discovery.expire(now) {
             self.news(news);
         }
         if self.resting.is_some_and(|until| until <= now) {
             self.resting = None;
             self.http_accept();
+            self.flight_accept();
         }
         self.collect(now);
         for effect in self.core.turn(now) {
             self.effect(now, effect);
         }
         self.collect(now);
-        let busy = self.core.open() > 0 || self.http.busy();
+        let busy = self.core.open() > 0 || self.http.busy() || self.flight.busy();
         let before = self.lifecycle.phase();
         let phase = self.lifecycle.step(now, busy);
         if before == Phase::Draining && phase != Phase::Draining {
             self.http_accept();
-            self.listener = None;
+            self.flight_accept();
+            (self.listener, self.flight_listener) = (None, None);
+            self.flight.drain(now, &mut self.core);
         }
         if phase == Phase::Finishing || phase == Phase::Stopped {
             self.http.close_idle(now, &mut self.core);
@@ -144,7 +164,9 @@
             Effect::Abandon(server, attempt) => self.pool.abandon(now, server, attempt),
             Effect::Probe(server) => self.pool.probe(now, &self.handle, server),
             Effect::Reply(Asker::Http(id), answer) => self.http.answer(now, id, &answer, &mut self.core),
-            Effect::Reply(Asker::Flight(_), _) => {}
+            Effect::Reply(Asker::Flight(id), answer) => {
+                self.flight.answer(now, id, &answer, &mut self.core);
+            }
             Effect::Watch => {
                 let news = self.discovery.watch(now, &self.handle);
                 news.into_iter().for_each(|news| self.news(news));
@@ -185,38 +207,64 @@
     }
 
     fn terminate(&mut self) {
-        self.lifecycle.terminate(self.clock.now());
+        let now = self.clock.now();
+        self.lifecycle.terminate(now);
         self.http.drain();
+        self.flight.drain(now, &mut self.core);
     }
 
     /// Callback: clients wait to be accepted.
     fn http_accept(&mut self) {
-        let now = self.clock.now();
-        while let Some(listener) = self.listener.as_ref().filter(|_| self.resting.is_none()) {
-            if !self.http.has_room() {
-                tracing::warn!("clients wait: no room for another connection");
-                self.resting = Some(now + REST);
-                return;
+        while self.http.has_room() || self.rest("no room for another connection") {
+            let Some(socket) = self.accept(|g| &g.listener) else { return };
+            self.http.accept(self.clock.now(), &self.handle, socket);
+        }
+    }
+
+    /// Callback: Flight clients wait to be accepted.
+    fn flight_accept(&mut self) {
+        while self.flight.has_room() || self.rest("no room for another Flight connection") {
+            let Some(socket) = self.accept(|g| &g.flight_listener) else { return };
+            self.flight.accept(self.clock.now(), &self.handle, socket);
+        }
+    }
+
+    /// The next connection, unless accepting rests.
+    fn accept(&mut self, listener: impl Fn(&Self) -> &Option<Listener>) -> Option<std::net::TcpStream> {
+        if self.resting.is_some() {
+            return None;
+        }
+        match listener(self).as_ref()?.accept() {
+            Ok(socket) => {
+                socket.iter().for_each(|_| self.lifecycle.accepted(self.clock.now()));
+                socket
             }
-            match listener.accept() {
-                Ok(Some(socket)) => {
-                    self.lifecycle.accepted(now);
-                    self.http.accept(now, &self.handle, socket);
-                }
-                Ok(None) => return,
-                Err(e) => {
-                    tracing::warn!("clients wait: {e}");
-                    self.resting = Some(now + REST);
-                }
+            Err(e) => {
+                self.rest(&e.to_string());
+                None
             }
         }
     }
 
+    /// Leaves clients in the backlog for a while; always `false`.
+    fn rest(&mut self, why: &str) -> bool {
+        if self.resting.is_none() {
+            tracing::warn!("clients wait: {why}");
+            self.resting = Some(self.clock.now() + REST);
+        }
+        false
+    }
+
     /// Callback: a client's connection is ready.
     pub fn http_ready(&mut self, id: u64) {
         self.http.ready(self.clock.now(), id, &mut self.core);
     }
 
+    /// Callback: a Flight client's connection is ready.
+    pub fn flight_ready(&mut self, id: u64) {
+        self.flight.ready(self.clock.now(), id, &mut self.core);
+    }
+
     /// Callback: a host's connection is ready.
     pub fn host_ready(&mut self, id: u64) {
         self.pool.ready(self.clock.now(), id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod config;
 pub mod core;
 pub mod discovery;
+pub mod flight;
 pub mod front;
 pub mod gatherer;
 pub mod interface;
--- a/src/net.rs
+++ b/src/net.rs
@@ -207,6 +207,14 @@
         }
     }
 
+    /// Reads once into `buffer`; 0 means that the other side has closed.
+    ///
+    /// # Errors
+    /// `WouldBlock` when nothing has come, and any that means that the connection is broken.
+    pub fn read_once(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        (&*self.socket).read(buffer)
+    }
+
     /// Says to the other side that nothing more will be written.
     pub fn finish(&self) {
         // An error means that the other side has gone already.
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -177,9 +177,9 @@
     pub fn abandon(&mut self, now: Micros, server: ServerId, attempt: AttemptId) {
         let held = self.connections.iter().filter(|(_, c)| c.server == server);
         for id in held.map(|(&id, _)| id).collect::<Vec<_>>() {
-            self.with(id, |c, _| match &mut c.link {
+            self.with(id, |c, reports| match &mut c.link {
                 Link::Frames(link) => link.abandon(now, attempt),
-                Link::Flight(link) => link.abandon(now, attempt),
+                Link::Flight(link) => link.abandon(now, attempt, reports),
             });
         }
     }
@@ -188,9 +188,9 @@
     pub fn probe(&mut self, now: Micros, handle: &Handle, server: ServerId) {
         let until = now + self.links.dial;
         match self.connection(now, handle, server, &[]) {
-            Some(id) => self.with(id, |c, _| match &mut c.link {
+            Some(id) => self.with(id, |c, reports| match &mut c.link {
                 Link::Frames(link) => link.probe(now, until),
-                Link::Flight(link) => link.probe(now, until),
+                Link::Flight(link) => link.probe(now, until, reports),
             }),
             None => self.reports.push(Report::Probed(server, false)),
         }
--- /dev/null
+++ b/tests/gatherer.rs
@@ -0,0 +1,268 @@
+//! The failure suite: each scenario is played on both wires, and both have to tell the same story.
+
+mod scenario;
+
+use insta::assert_snapshot;
+use scenario::{both, play, Wire};
+
+#[test]
+fn a_query_is_answered_whole() {
+    assert_snapshot!(both("
+        send a search 3000 0 1 2
+        expect part 0
+        expect part 1
+        expect part 2
+        send part 0 good x
+        send part 1 good y
+        send part 2 good z
+        expect a
+    "), @r"
+    part 0
+    part 1
+    part 2
+    a: whole 0=x 1=y 2=z
+    ");
+}
+
+// Guards against a second run of a part with an effect: its stream breaks off halfway, with a row that
+// looks good already in, so it may have run.
+#[test]
+fn a_hold_cut_halfway_is_not_run_again() {
+    assert_snapshot!(both("
+        send a place-hold 3000 0
+        expect part 0
+        close part 0
+        expect a
+        wait 300
+        expect runs 0
+    "), @r"
+    part 0
+    a: failed
+    runs 0: 1
+    ");
+}
+
+// Guards against giving up on a part with an effect that was turned away: it never ran.
+#[test]
+fn a_hold_turned_away_goes_elsewhere() {
+    assert_snapshot!(both("
+        send a place-hold 3000 0
+        expect part 0
+        send part 0 later
+        expect part 0
+        send part 0 good x
+        expect a
+        expect runs 0
+    "), @r"
+    part 0
+    part 0
+    a: whole 0=x
+    runs 0: 2
+    ");
+}
+
+#[test]
+fn a_search_cut_halfway_is_repeated() {
+    assert_snapshot!(both("
+        send a search 3000 0
+        expect part 0
+        close part 0
+        expect part 0
+        send part 0 good x
+        expect a
+    "), @r"
+    part 0
+    part 0
+    a: whole 0=x
+    ");
+}
+
+// Guards against marking as whole what lacks a part: the report is given from 80% and says so.
+#[test]
+fn a_report_from_four_parts_of_five_is_partial() {
+    assert_snapshot!(both("
+        send a sales-report 2000 0 1 2 3 4
+        expect part 0
+        expect part 1
+        expect part 2
+        expect part 3
+        send part 0 good v
+        send part 1 good w
+        send part 2 good x
+        send part 3 good y
+        expect part 4
+        expect a
+    "), @r"
+    part 0
+    part 1
+    part 2
+    part 3
+    part 4
+    a: partial 0=v 1=w 2=x 3=y
+    ");
+}
+
+#[test]
+fn a_report_from_less_is_not_given() {
+    assert_snapshot!(both("
+        send a sales-report 1000 0 1 2 3 4
+        expect part 0
+        expect part 1
+        expect part 2
+        send part 0 good v
+        send part 1 good w
+        send part 2 good x
+        expect a
+    "), @r"
+    part 0
+    part 1
+    part 2
+    a: refused, with advice
+    ");
+}
+
+// Guards against holding a failure back until the client's time is nearly up.
+#[test]
+fn a_hold_that_failed_is_told_at_once() {
+    assert_snapshot!(both("
+        send a place-hold 60000 0 1
+        expect part 0
+        send part 0 bad
+        expect a
+    "), @r"
+    part 0
+    a: failed
+    ");
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_parts() {
+    assert_snapshot!(both("
+        send a search 3000 0
+        expect part 0
+        close a
+        expect cancel 0
+    "), @r"
+    part 0
+    cancel 0
+    ");
+}
+
+#[test]
+fn what_makes_no_sense_is_said_plainly() {
+    assert_snapshot!(both("
+        send a browse 3000 0
+        expect a
+        send b search 3000 99
+        expect b
+        send c search 3000 0 0
+        expect c
+        send d search 3000
+        expect d
+    "), @r"
+    a: invalid: the class is unknown
+    b: invalid: there is no such shard
+    c: invalid: a shard is named twice
+    d: invalid: a query needs a part
+    ");
+}
+
+#[test]
+fn time_runs_out_while_a_hold_is_out() {
+    assert_snapshot!(both("
+        send a place-hold 500 0
+        expect part 0
+        expect a
+    "), @r"
+    part 0
+    a: time up
+    ");
+}
+
+// Guards the bound on open queries and parts: MaxOpen is 20, a query of ten parts counts for eleven.
+#[test]
+fn more_than_may_be_open_is_refused() {
+    assert_snapshot!(both("
+        send a search 3000 0 1 2 3 4 5 6 7 8 9
+        expect part 9
+        send b search 3000 0 1 2 3 4 5 6 7 8 9
+        expect b
+    "), @r"
+    part 9
+    b: refused, with advice
+    ");
+}
+
+#[test]
+fn a_host_that_leaves_gets_nothing_new() {
+    assert_snapshot!(both("
+        send roster 0 leaving
+        send roster 1 left
+        send a search 3000 0 1 2 3 4 5
+        expect part 0
+        expect part 5
+        expect hosts
+    "), @r"
+    part 0
+    part 5
+    hosts {2}
+    ");
+}
+
+#[test]
+fn a_planned_restart_finishes_what_it_took() {
+    assert_snapshot!(both("
+        send a search 3000 0
+        expect part 0
+        send term
+        wait 100
+        send b search 3000 1
+        expect part 1
+        send part 0 good x
+        send part 1 good y
+        expect a
+        expect b
+        expect exit
+    "), @r"
+    part 0
+    part 1
+    a: whole 0=x
+    b: whole 1=y
+    exit Some(0)
+    ");
+}
+
+// Guards the HTTP front's framing: bad input gets a 4xx, and a close where framing is lost.
+#[test]
+fn malformed_http_is_turned_down() {
+    assert_snapshot!(play(Wire::Http, r"
+        send raw GET /healthz HTTP/1.1\r\n\r\n
+        expect raw
+        send raw NONSENSE\r\n\r\n
+        expect raw
+        send raw GET /nothing HTTP/1.1\r\n\r\n
+        expect raw
+        send raw GET /api HTTP/1.1\r\n\r\n
+        expect raw
+        send raw POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n
+        expect raw
+        send raw POST /api HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n
+        expect raw
+        send raw POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n
+        expect raw
+        send raw POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n
+        expect raw
+        send raw POST /api HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: search\r\nReq-Deadline-Ms: 9\r\nContent-Length: 1\r\n\r\n{
+        expect raw
+    "), @r"
+    raw 200
+    raw 400, closed
+    raw 404
+    raw 405
+    raw 413, closed
+    raw 400, closed
+    raw 400, closed
+    raw 400
+    raw 400
+    ");
+}
--- /dev/null
+++ b/tests/scenario/flight.rs
@@ -0,0 +1,209 @@
+//! Stand-ins that speak Arrow Flight: a host and a client.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex};
+
+use arrow_array::{RecordBatch, StringArray, UInt32Array};
+use arrow_ipc::reader::StreamReader;
+use arrow_ipc::writer::{DictionaryTracker, IpcDataGenerator, IpcWriteContext, IpcWriteOptions};
+use arrow_schema::{DataType, Field, Schema};
+use bytes::Bytes;
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream};
+use http::{HeaderMap, Request, Response};
+use mallowgauge::flight::grpc::{
+    frame, status_of, write_timeout, Deframer, FlightData, FlightDescriptor, FlightInfo, Ticket, SERVICE,
+};
+use prost::Message;
+use serde_json::{json, Value};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::unbounded_channel;
+
+use super::{plain, Event, Query, Reply};
+
+fn run(task: impl std::future::Future + Send + 'static) {
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let local = tokio::task::LocalSet::new();
+        local.block_on(&runtime.expect("a runtime"), task);
+    });
+}
+
+async fn read(mut body: RecvStream) -> Option<(Vec<Bytes>, Option<HeaderMap>)> {
+    let (mut frames, mut messages) = (Deframer::new(1 << 20), Vec::new());
+    while let Some(piece) = body.data().await {
+        let piece = piece.ok()?;
+        let _ = body.flow_control().release_capacity(piece.len());
+        frames.push(&piece);
+        messages.extend(std::iter::from_fn(|| frames.take().expect("a message")));
+    }
+    frames.is_empty().then_some((messages, body.trailers().await.ok()?))
+}
+
+/// A host that offers Flight.
+pub fn host(number: usize, events: Sender<Event>) -> SocketAddr {
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = socket.local_addr().expect("an address");
+    socket.set_nonblocking(true).expect("a socket");
+    run(async move {
+        let listener = TcpListener::from_std(socket).expect("a listener");
+        while let Ok((socket, _)) = listener.accept().await {
+            let events = events.clone();
+            tokio::task::spawn_local(async move {
+                let mut connection = h2::server::handshake(socket).await.ok()?;
+                while let Some(Ok((request, respond))) = connection.accept().await {
+                    tokio::task::spawn_local(do_get(number, request, respond, events.clone()));
+                }
+                Some(())
+            });
+        }
+    });
+    addr
+}
+
+async fn do_get(
+    number: usize,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    events: Sender<Event>,
+) {
+    assert_eq!(request.uri().path(), format!("{SERVICE}DoGet"));
+    assert!(request.headers().contains_key("grpc-timeout"), "the deadline goes on to hosts");
+    let (messages, _) = read(request.into_body()).await.expect("a request");
+    let ticket = Ticket::decode(messages[0].clone()).expect("a ticket");
+    let ticket: Value = serde_json::from_slice(&ticket.ticket).expect("JSON");
+    assert_eq!(ticket["predicate"], "c41e77d0", "the query's text goes on unchanged");
+    let shard = ticket["range"].as_u64().expect("a shard") as u32;
+    let (sender, mut replies) = unbounded_channel();
+    let reply = move |reply| drop::<Result<_, _>>(sender.send(reply));
+    drop(events.send(Event::Part(number, shard, Box::new(reply))));
+    let reply = tokio::select! {
+        reply = replies.recv() => reply,
+        _ = std::future::poll_fn(|cx| respond.poll_reset(cx)) => None,
+    };
+    let Some(reply) = reply else { return drop(events.send(Event::Cancel(shard))) };
+    let response = Response::builder().header("content-type", "application/grpc").body(());
+    let mut stream = respond.send_response(response.expect("a head"), false).expect("a stream");
+    let rows = match reply {
+        Reply::End(end, value) => [(shard, end, value)],
+        Reply::Cut => {
+            // An answer that looks good, and then the stream breaks off.
+            let half = table(&[(shard, "good".to_owned(), "half".to_owned())]);
+            stream.send_data(half.into(), false).expect("room");
+            // Let it get through before the stream is cut.
+            tokio::task::yield_now().await;
+            return stream.send_reset(Reason::INTERNAL_ERROR);
+        }
+    };
+    stream.send_data(table(&rows).into(), false).expect("room");
+    let mut trailers = HeaderMap::new();
+    trailers.insert("grpc-status", "0".parse().expect("a value"));
+    stream.send_trailers(trailers).expect("a stream");
+}
+
+fn table(rows: &[(u32, String, String)]) -> Vec<u8> {
+    let column = |name: &str, kind| Field::new(name, kind, false);
+    let (end, blob) = (column("end", DataType::Utf8), column("blob", DataType::Utf8));
+    let schema = Arc::new(Schema::new(vec![column("range", DataType::UInt32), end, blob]));
+    let text = |values: Vec<&String>| Arc::new(StringArray::from_iter_values(values));
+    let ranges = UInt32Array::from_iter_values(rows.iter().map(|r| r.0));
+    let (ends, blobs) = (rows.iter().map(|r| &r.1).collect(), rows.iter().map(|r| &r.2).collect());
+    let batch = RecordBatch::try_new(Arc::clone(&schema), vec![Arc::new(ranges), text(ends), text(blobs)]);
+    let (options, mut tracker) = (IpcWriteOptions::default(), DictionaryTracker::new(true));
+    let writer = IpcDataGenerator::default();
+    let head = writer.schema_to_bytes_with_dictionary_tracker(&schema, &mut tracker, &options);
+    let mut context = IpcWriteContext::default();
+    let body = writer.encode(&batch.expect("a batch"), &mut tracker, &options, &mut context);
+    let message = |e: arrow_ipc::writer::EncodedData| {
+        let data_header = e.ipc_message.into();
+        frame(&FlightData { data_header, app_metadata: Bytes::new(), data_body: e.arrow_data.into() })
+    };
+    [message(head), message(body.expect("a batch").1)].concat()
+}
+
+/// A Flight client; the returned call makes it go away.
+pub fn ask(addr: SocketAddr, query: Query, answer: impl Fn(String) + Send + 'static) -> Box<dyn FnOnce()> {
+    let (closer, mut closed) = unbounded_channel::<()>();
+    run(async move {
+        tokio::select! {
+            text = fetch(addr, query) => answer(text),
+            // The world drops its end only when the test is over.
+            _ = closed.recv() => {}
+        }
+    });
+    Box::new(move || closer.send(()).expect("a client"))
+}
+
+type Got = Result<Vec<Bytes>, String>;
+
+async fn fetch(addr: SocketAddr, query: Query) -> String {
+    let socket = TcpStream::connect(addr).await.expect("a connection");
+    let (sender, connection) = h2::client::handshake(socket).await.expect("HTTP/2");
+    tokio::task::spawn_local(connection);
+    let sender = Arc::new(Mutex::new(sender));
+    let call = |method: &str, message: Vec<u8>| {
+        let request = Request::post(format!("http://{addr}{SERVICE}{method}"))
+            .header("content-type", "application/grpc")
+            .header("grpc-timeout", write_timeout(query.ms * 1000))
+            .body(())
+            .expect("a request");
+        let sent = sender.lock().expect("a sound lock").send_request(request, false);
+        async move {
+            let (response, mut stream) = sent.map_err(|e| e.to_string())?;
+            stream.send_data(message.into(), true).map_err(|e| e.to_string())?;
+            let response = response.await.map_err(|e| e.to_string())?;
+            let head = response.headers().clone();
+            let (messages, trailers) = read(response.into_body()).await.ok_or("cut short")?;
+            let map = trailers.unwrap_or(head);
+            let advice = if map.contains_key("grpc-status-details-bin") { ", with advice" } else { "" };
+            let words = || map["grpc-message"].to_str().expect("text").to_owned();
+            match status_of(&map) {
+                Some(0) => Ok(messages),
+                Some(3) => Err(format!("invalid: {}", words())),
+                Some(4) => Err("time up".to_owned()),
+                Some(8 | 14) => Err(format!("refused{advice}")),
+                Some(13) => Err("failed".to_owned()),
+                other => Err(format!("status {other:?}")),
+            }
+        }
+    };
+    let mut command = query.body.clone();
+    command["id"] = json!(query.id);
+    command["kind"] = json!(query.kind);
+    let cmd = command.to_string().into();
+    let descriptor = FlightDescriptor { r#type: 2, cmd, path: Vec::new() };
+    let info: Got = call("GetFlightInfo", frame(&descriptor)).await;
+    let info = match info {
+        Ok(messages) => FlightInfo::decode(messages[0].clone()).expect("a FlightInfo"),
+        Err(text) => return text,
+    };
+    let ticket = info.endpoint[0].ticket.clone().expect("a ticket");
+    let messages: Got = call("DoGet", frame(&ticket)).await;
+    messages.map_or_else(|text| text, |messages| decode(&messages))
+}
+
+/// The answer that Arrow's own reader finds in the messages.
+fn decode(messages: &[Bytes]) -> String {
+    let (mut stream, mut total) = (Vec::new(), Value::Null);
+    for message in messages {
+        let data = FlightData::decode(message.clone()).expect("FlightData");
+        stream.extend_from_slice(&u32::MAX.to_le_bytes());
+        stream.extend_from_slice(&u32::try_from(data.data_header.len()).expect("a size").to_le_bytes());
+        stream.extend_from_slice(&data.data_header);
+        stream.extend_from_slice(&data.data_body);
+        if !data.app_metadata.is_empty() {
+            total = serde_json::from_slice::<Value>(&data.app_metadata).expect("JSON")["total"].clone();
+        }
+    }
+    let reader = StreamReader::try_new(stream.as_slice(), None).expect("a stream");
+    let mut answers = Vec::new();
+    for batch in reader {
+        let batch = batch.expect("a batch");
+        let ranges: UInt32Array = batch.column(0).to_data().into();
+        let blobs: StringArray = batch.column(1).to_data().into();
+        let row = |(range, blob)| json!({"range": range, "blob": blob});
+        answers.extend(ranges.iter().zip(blobs.iter()).map(row));
+    }
+    plain::body(&json!({"total": total, "answers": answers}))
+}
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,326 @@
+//! The scenario language. A scenario is a text of one step a line, played against the real program on
+//! loopback sockets; what its `expect` lines see is the transcript.
+//!
+//! ```text
+//! send NAME KIND MS SHARD...      a client sends a query
+//! send part SHARD good VALUE      a host answers the part that was expected last (or: bad, later)
+//! send roster HOST STATE          discovery tells that a host is now in that state
+//! send raw TEXT                   a client sends these bytes, in Rust's escapes
+//! send term                       the program gets SIGTERM
+//! expect part SHARD               a host has got the part
+//! expect cancel SHARD             a host was told that nobody waits for the part
+//! expect NAME                     the client's answer
+//! expect runs SHARD               how many times the part was sent so far
+//! expect hosts                    the hosts that have been sent anything so far
+//! expect raw                      the status of the answer, and whether the connection was closed
+//! expect exit                     the program's exit code
+//! close part SHARD                the host cuts the connection; on Flight, halfway through the answer
+//! close NAME                      the client goes away
+//! wait MS
+//! ```
+#![allow(dead_code)]
+
+pub mod flight;
+pub mod plain;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+/// Longer than any step may take on a slow machine; only a failing test waits for it.
+const PATIENCE: Duration = Duration::from_secs(20);
+pub const HOSTS: usize = 3;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wire {
+    Http,
+    Flight,
+}
+
+/// What a host does about a part.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    End(String, String),
+    Cut,
+}
+
+pub enum Event {
+    Part(usize, u32, Box<dyn Fn(Reply) + Send>),
+    Cancel(u32),
+    Answer(String, String),
+}
+
+/// A client's query.
+#[derive(Clone)]
+pub struct Query {
+    pub id: String,
+    pub kind: String,
+    pub ms: u64,
+    pub body: Value,
+}
+
+pub struct Program {
+    pub child: Child,
+    pub http: SocketAddr,
+    pub flight: SocketAddr,
+    pub log: Arc<Mutex<Vec<String>>>,
+}
+
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str, late: f64| {
+        json!({"Name": name, "AimUs": 1_500_000, "DeadlineUs": 4_000_000, "LateValue": late,
+               "Semantics": effect, "WindowUs": 5_000_000, "Worth": 1.0})
+    };
+    json!({
+        "Az": "regina-dc1", "Azs": ["regina-dc1"], "Instances": 1, "TickUs": 5000,
+        "MembershipMode": "subscribe",
+        "Classes": [class("search", "free", 0.3), class("place-hold", "single_shot", 0.1),
+                    class("sales-report", "free", 0.1)],
+        "FamilyInfo": {"ClassFloor": [1.0, 1.0, 0.8], "ClassPartial": [0.9, 0.9, 0.9],
+            "CompleteFrom": [1.0, 1.0, 1.0], "FollowUp": [0, 0, 0], "OverheadUs": 48000,
+            "PartsACall": 16, "Places": HOSTS, "Shards": 10, "Width": HOSTS},
+        "Limits": {"Cancel": true, "ConnIdleUs": 15_000_000, "DialTimeoutUs": 250_000, "MaxAttempts": 3,
+            "MaxOpen": 20, "MaxRetryAfterUs": 2_000_000, "MaxStreams": 32, "Probing": true,
+            "RetryAfter": true, "SecondCopies": true},
+        "Safety": {"AskWithinUs": 10_000_000, "ColdFrom": 0.16, "FallUs": 1_000_000, "TipMultiple": 3.0,
+            "WarmWithinUs": 17_000_000}
+    })
+}
+
+pub fn config(hosts: &[SocketAddr], discovery: SocketAddr) -> Value {
+    let instance = |(i, addr): (usize, &SocketAddr)| plain::instance(i, *addr, "active");
+    let known: Vec<Value> = hosts.iter().enumerate().map(instance).collect();
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
+           "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+           "known": {"generation": 1, "reset": true, "instances": known}, "settings": settings()})
+}
+
+/// The program, started with these files; `stdout` is its log.
+pub fn spawn(config: &Value, operator: &Value) -> Child {
+    static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let file = |what: &str, value: &Value| {
+        let name = format!("mallowgauge-{}-{number}-{what}.json", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, value.to_string()).expect("a file in the temporary folder");
+        path
+    };
+    Command::new(env!("CARGO_BIN_EXE_mallowgauge"))
+        .arg(file("operator", operator))
+        .env("RELAY_CONFIG", file("config", config))
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts")
+}
+
+impl Program {
+    pub fn start(config: &Value, operator: &Value) -> Self {
+        let mut child = spawn(config, operator);
+        let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
+        let mut listens = |what: &str| loop {
+            let line = lines.next().expect("the program goes on").expect("text");
+            if let Some((_, addr)) = line.split_once(what) {
+                return addr.trim().parse().expect("an address");
+            }
+        };
+        let (http, flight) = (listens("n1 listens on "), listens("Flight listens on "));
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                kept.lock().expect("a sound lock").push(line);
+            }
+        });
+        Self { child, http, flight, log }
+    }
+
+    pub fn signal(&self, signal: libc::c_int) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([format!("-{signal}"), pid]).status().expect("kill runs");
+        assert!(sent.success());
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct World {
+    wire: Wire,
+    program: Program,
+    roster: plain::Roster,
+    hosts: Vec<SocketAddr>,
+    sender: Sender<Event>,
+    events: Receiver<Event>,
+    seen: Vec<Event>,
+    replies: BTreeMap<u32, Box<dyn Fn(Reply) + Send>>,
+    runs: BTreeMap<u32, u32>,
+    used: BTreeSet<usize>,
+    clients: BTreeMap<String, Box<dyn FnOnce()>>,
+    raw: Option<TcpStream>,
+    next: u32,
+}
+
+impl World {
+    fn new(wire: Wire) -> Self {
+        let (sender, events) = channel();
+        let host = |i| match wire {
+            Wire::Http => plain::host(i, sender.clone()),
+            Wire::Flight => flight::host(i, sender.clone()),
+        };
+        let hosts: Vec<SocketAddr> = (0..HOSTS).map(host).collect();
+        let roster = plain::Roster::start();
+        let offers = if wire == Wire::Flight { json!("all") } else { json!([]) };
+        let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": offers}});
+        let program = Program::start(&config(&hosts, roster.addr), &operator);
+        Self {
+            wire,
+            program,
+            roster,
+            hosts,
+            sender,
+            events,
+            seen: Vec::new(),
+            replies: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            used: BTreeSet::new(),
+            clients: BTreeMap::new(),
+            raw: None,
+            next: 0,
+        }
+    }
+
+    /// The first event that `pick` takes, now or later.
+    fn event<T>(&mut self, what: &str, pick: impl Fn(&Event) -> Option<T>) -> (T, Event) {
+        let mut at = 0;
+        loop {
+            if let Some(found) = self.seen.get(at).and_then(&pick) {
+                return (found, self.seen.remove(at));
+            }
+            at += 1;
+            if at >= self.seen.len() {
+                let event = self.events.recv_timeout(PATIENCE).unwrap_or_else(|_| {
+                    panic!("no {what}; log: {:#?}", self.program.log.lock().expect("a sound lock"))
+                });
+                if let Event::Part(host, shard, _) = &event {
+                    self.used.insert(*host);
+                    *self.runs.entry(*shard).or_default() += 1;
+                }
+                self.seen.push(event);
+                at = self.seen.len() - 1;
+            }
+        }
+    }
+
+    fn step(&mut self, line: &str) -> Option<String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let number = |at: usize| words[at].parse::<u32>().expect("a number");
+        match words[..] {
+            ["send", "part", _, end, ..] => {
+                let value = words.get(4).copied().unwrap_or_default();
+                self.replies[&number(2)](Reply::End(end.to_owned(), value.to_owned()));
+            }
+            ["send", "roster", _, state] => {
+                let host = number(2) as usize;
+                self.roster.tell(&plain::instance(host, self.hosts[host], state));
+            }
+            ["send", "raw", ..] => {
+                let text = line.split_once("raw ").expect("bytes").1;
+                let bytes = text.replace("\\r", "\r").replace("\\n", "\n");
+                let mut raw = TcpStream::connect(self.program.http).expect("a connection");
+                raw.write_all(bytes.as_bytes()).expect("room in the socket");
+                self.raw = Some(raw);
+            }
+            ["send", "term"] => self.program.signal(libc::SIGTERM),
+            ["send", name, kind, ms, ..] => {
+                let shards = &words[4..];
+                let share = 1.0 / shards.len() as f64;
+                let range = |s: &&str| json!({"range": s.parse::<u32>().unwrap_or(99), "portion": share});
+                let ranges: Vec<Value> = shards.iter().map(range).collect();
+                self.next += 1;
+                let query = Query {
+                    id: format!("{:016x}", self.next),
+                    kind: kind.to_owned(),
+                    ms: ms.parse().expect("a number"),
+                    body: json!({"ranges": ranges, "predicate": "c41e77d0"}),
+                };
+                let (name, sender) = (name.to_owned(), self.sender.clone());
+                let answer = move |text: String| drop(sender.send(Event::Answer(name.clone(), text)));
+                let close = match self.wire {
+                    Wire::Http => plain::ask(self.program.http, query, answer),
+                    Wire::Flight => flight::ask(self.program.flight, query, answer),
+                };
+                self.clients.insert(words[1].to_owned(), close);
+            }
+            ["expect", "part", _] => {
+                let shard = number(2);
+                let pick = |e: &Event| matches!(e, Event::Part(_, s, _) if *s == shard).then_some(());
+                if let (_, Event::Part(_, _, reply)) = self.event(line, pick) {
+                    self.replies.insert(shard, reply);
+                }
+                return Some(format!("part {shard}"));
+            }
+            ["expect", "cancel", _] => {
+                let shard = number(2);
+                self.event(line, |e| matches!(e, Event::Cancel(s) if *s == shard).then_some(()));
+                return Some(format!("cancel {shard}"));
+            }
+            ["expect", "runs", _] => {
+                return Some(format!("runs {}: {}", words[2], self.runs.get(&number(2)).unwrap_or(&0)));
+            }
+            ["expect", "hosts"] => return Some(format!("hosts {:?}", self.used)),
+            ["expect", "raw"] => {
+                let mut raw = self.raw.take().expect("raw bytes were sent");
+                raw.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+                let (mut lines, mut text) = (BufReader::new(&mut raw).lines(), String::new());
+                while let Some(line) = lines.next().and_then(Result::ok).filter(|line| !line.is_empty()) {
+                    text += &(line + "\n");
+                }
+                drop(lines);
+                let status = text.split(' ').nth(1).unwrap_or("none");
+                let closes = text.contains("Connection: close");
+                let closed = closes && raw.read_to_end(&mut Vec::new()).is_ok();
+                return Some(format!("raw {status}{}", if closed { ", closed" } else { "" }));
+            }
+            ["expect", "exit"] => {
+                let status = self.program.child.wait().expect("an exit code");
+                return Some(format!("exit {:?}", status.code()));
+            }
+            ["expect", name] => {
+                let pick = |e: &Event| match e {
+                    Event::Answer(n, text) if n == name => Some(text.clone()),
+                    _ => None,
+                };
+                return Some(format!("{name}: {}", self.event(line, pick).0));
+            }
+            ["close", "part", _] => self.replies[&number(2)](Reply::Cut),
+            ["close", name] => self.clients.remove(name).expect("such a client")(),
+            ["wait", _] => std::thread::sleep(Duration::from_millis(number(1).into())),
+            _ => panic!("no such step: {line}"),
+        }
+        None
+    }
+}
+
+/// Plays a scenario on one wire and returns its transcript.
+pub fn play(wire: Wire, scenario: &str) -> String {
+    let mut world = World::new(wire);
+    let steps = scenario.lines().map(str::trim).filter(|line| !line.is_empty());
+    steps.filter_map(|line| world.step(line)).collect::<Vec<_>>().join("\n")
+}
+
+/// Plays a scenario on both wires; the transcripts have to be the same.
+pub fn both(scenario: &str) -> String {
+    let (http, flight) = (play(Wire::Http, scenario), play(Wire::Flight, scenario));
+    assert_eq!(http, flight, "the wires differ");
+    http
+}
--- /dev/null
+++ b/tests/scenario/plain.rs
@@ -0,0 +1,162 @@
+//! Stand-ins on the platform's own wires: a host that takes frames, discovery, and an HTTP client.
+
+use std::cell::Cell;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+
+use serde_json::{json, Value};
+
+use super::{Event, Query, Reply, PATIENCE};
+
+fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    (listener, addr)
+}
+
+fn frame(letter: u8, rest: &str) -> Vec<u8> {
+    let length = u32::try_from(rest.len() + 1).expect("a short frame");
+    [&length.to_be_bytes()[..], &[letter], rest.as_bytes()].concat()
+}
+
+/// A host that takes frames.
+pub fn host(number: usize, events: Sender<Event>) -> SocketAddr {
+    let (listener, addr) = listener();
+    std::thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let events = events.clone();
+            std::thread::spawn(move || serve(number, socket, &events));
+        }
+    });
+    addr
+}
+
+fn serve(number: usize, mut socket: TcpStream, events: &Sender<Event>) -> Option<()> {
+    loop {
+        let mut head = [0; 5];
+        socket.read_exact(&mut head).ok()?;
+        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        let mut rest = vec![0; length - 1];
+        socket.read_exact(&mut rest).ok()?;
+        let text = String::from_utf8(rest).expect("text");
+        match head[4] {
+            b'm' => call(number, &text, &socket, events),
+            b'n' => {
+                let shard = text.rsplit('.').next().and_then(|s| s.parse().ok());
+                drop(events.send(Event::Cancel(shard.expect("a part's id"))));
+            }
+            b'o' => socket.write_all(&frame(b'o', "good")).ok()?,
+            letter => panic!("a frame {letter}"),
+        }
+    }
+}
+
+fn call(number: usize, mut text: &str, socket: &TcpStream, events: &Sender<Event>) {
+    while let Some((line, rest)) = text.split_once('\n') {
+        let words: Vec<&str> = line.split(' ').collect();
+        let [id, shard, list, length] = words[..] else { panic!("a line {line}") };
+        assert!(id.ends_with(&format!(".{shard}")) && list.starts_with("d="), "{line}");
+        let (carried, after) = rest.split_at(length.parse().expect("a length"));
+        assert_eq!(carried, "c41e77d0", "the query's text goes on unchanged");
+        text = after;
+        let (id, socket) = (id.to_owned(), socket.try_clone().expect("a socket"));
+        let reply = move |reply: Reply| match reply {
+            Reply::End(end, value) => {
+                let answer = frame(b'q', &format!("{id} {end} 0 util=0.5\n{value}"));
+                (&socket).write_all(&answer).expect("a connection");
+            }
+            Reply::Cut => socket.shutdown(Shutdown::Both).expect("a connection"),
+        };
+        drop(events.send(Event::Part(number, shard.parse().expect("a shard"), Box::new(reply))));
+    }
+}
+
+pub fn instance(host: usize, addr: SocketAddr, state: &str) -> Value {
+    json!({"instanceId": format!("s-{host}"), "hostPort": addr.to_string(), "zone": "regina-dc1",
+           "machineType": "m2", "cell": host, "lifecycle": state, "weight": 1.0, "startedAtMs": 0})
+}
+
+/// Discovery: holds each watch until there is something to tell.
+pub struct Roster {
+    pub addr: SocketAddr,
+    news: Sender<String>,
+    asked: Receiver<()>,
+    asked_again: Cell<bool>,
+    generation: Cell<u64>,
+}
+
+impl Roster {
+    pub fn start() -> Self {
+        let (listener, addr) = listener();
+        let (news, told) = channel::<String>();
+        let (ask, asked) = channel();
+        std::thread::spawn(move || {
+            for mut socket in listener.incoming().flatten() {
+                let mut lines = BufReader::new(socket.try_clone().expect("a socket")).lines();
+                // A head ends with an empty line; nothing follows a GET.
+                while lines.by_ref().map_while(Result::ok).any(|line| line.is_empty()) {
+                    ask.send(()).expect("a test");
+                    let Ok(body) = told.recv() else { return };
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                    if socket.write_all((head + &body).as_bytes()).is_err() {
+                        break;
+                    }
+                }
+            }
+        });
+        Self { addr, news, asked, asked_again: Cell::new(false), generation: Cell::new(1) }
+    }
+
+    /// Answers the watch. The program has read that once it asks again.
+    pub fn tell(&self, instance: &Value) {
+        if !self.asked_again.get() {
+            self.asked.recv_timeout(PATIENCE).expect("a watch");
+        }
+        self.generation.set(self.generation.get() + 1);
+        let list = json!({"generation": self.generation.get(), "reset": false, "instances": [instance]});
+        self.news.send(list.to_string()).expect("discovery runs");
+        self.asked.recv_timeout(PATIENCE).expect("the next watch");
+        self.asked_again.set(true);
+    }
+}
+
+/// What a transcript says of an answer's body.
+pub fn body(body: &Value) -> String {
+    let mark = if body["total"] == true { "whole" } else { "partial" };
+    let value = |a: &Value| format!(" {}={}", a["range"], a["blob"].as_str().unwrap_or_default());
+    let values: Vec<String> = body["answers"].as_array().into_iter().flatten().map(value).collect();
+    mark.to_owned() + &values.concat()
+}
+
+/// An HTTP client; the returned call makes it go away.
+pub fn ask(addr: SocketAddr, query: Query, answer: impl Fn(String) + Send + 'static) -> Box<dyn FnOnce()> {
+    let socket = TcpStream::connect(addr).expect("a connection");
+    let closer = socket.try_clone().expect("a socket");
+    std::thread::spawn(move || {
+        let Query { id, kind, ms, body: sent } = query;
+        let sent = sent.to_string();
+        let head = format!(
+            "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\n\
+             Req-Deadline-Ms: {ms}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            sent.len()
+        );
+        (&socket).write_all((head + &sent).as_bytes()).expect("a connection");
+        let mut text = String::new();
+        if (&socket).read_to_string(&mut text).is_err() || text.is_empty() {
+            return;
+        }
+        let (head, got) = text.split_once("\r\n\r\n").expect("a head");
+        let got: Value = serde_json::from_str(got).expect("a body");
+        let advice = head.contains("\r\nRetry-After: ");
+        answer(match head.split(' ').nth(1) {
+            Some("200") => body(&got),
+            Some("503") => format!("refused{}", if advice { ", with advice" } else { "" }),
+            Some("502") => "failed".to_owned(),
+            Some("504") => "time up".to_owned(),
+            Some("400") => format!("invalid: {}", got["error"].as_str().unwrap_or_default()),
+            other => format!("status {other:?}"),
+        });
+    });
+    Box::new(move || closer.shutdown(Shutdown::Both).expect("a connection"))
+}
