Bound buffers and waits, test GOAWAY, refused streams, nonsense and discovery's way back

Seen: each answered request left an entry in the HTTP front's idle queue for 20 s, which a fast client could grow without bound; deadlines are now read off the connections. Frames and Flight answers were taken to 1 and 4 MB a connection, more together than 192 MB; values fit into 64 KiB.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -15,8 +15,8 @@
 const SILENCE: Micros = 1_800_000;
 /// A call that need not wait gets this long; its turn may come late. The limit there is 6 s.
 const PATIENCE: Micros = 5_000_000;
-/// Longest answer taken: some thousands of hosts.
-const LONGEST: usize = 4 * 1024 * 1024;
+/// Longest answer taken, for a list of some thousands of hosts.
+const LONGEST: usize = 1024 * 1024;
 
 /// One host, as discovery tells it.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/flight/table.rs
+++ b/src/flight/table.rs
@@ -115,7 +115,11 @@
         stream.extend_from_slice(&message.data_header);
         stream.extend_from_slice(&message.data_body);
         let mut rest = Buffer::from(stream);
-        let batch = self.decoder.decode(&mut rest).map_err(|e| e.to_string())?;
+        // The decoder checks what it reads; should a check be missing there, the connection pays for it,
+        // not the process.
+        let decode = std::panic::AssertUnwindSafe(|| self.decoder.decode(&mut rest));
+        let batch = std::panic::catch_unwind(decode).map_err(|_| "a table that cannot be read")?;
+        let batch = batch.map_err(|e| e.to_string())?;
         if !rest.is_empty() {
             return Err("more bytes than the message says".to_owned());
         }
--- a/src/front/flight.rs
+++ b/src/front/flight.rs
@@ -29,7 +29,7 @@
 use crate::net::{Handle, Stream};
 
 /// Most streams of a connection that are open at a time.
-const MOST_STREAMS: u32 = 64;
+const MOST_STREAMS: u32 = 16;
 /// Longest list of header lines.
 const LONGEST_HEAD: u32 = 16 * 1024;
 /// A client that keeps the front waiting for longer than this is cut off: for a request to become
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -1,6 +1,6 @@
 //! The HTTP front: connections of clients on the platform's protocol.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use serde_json::{json, Value};
 
@@ -13,8 +13,8 @@
 
 /// Read ahead from a client while its request is in work.
 const LONGEST_INPUT: usize = http1::LONGEST_HEAD + http1::LONGEST_BODY;
-/// A request that has begun has to be whole by then.
-const SLOWEST_REQUEST: Micros = 20_000_000;
+/// Time for a request that has begun to become whole, and for an answer to be taken.
+const SLOWEST: Micros = 20_000_000;
 /// A connection without a request is kept for so long.
 const LONGEST_IDLE: Micros = 120_000_000;
 
@@ -42,6 +42,8 @@
     close: bool,
     /// The client may still be sending when the last answer is written.
     linger: bool,
+    /// A request has begun to come in.
+    begun: bool,
     /// When the present wait for the client began.
     since: Micros,
 }
@@ -52,15 +54,13 @@
     next: u64,
     most: usize,
     draining: bool,
-    /// Connections in the order of their last change to idle, oldest first; some have moved on.
-    idle: VecDeque<(Micros, u64)>,
 }
 
 impl Front {
     /// A front for at most `most` connections.
     #[must_use]
     pub fn new(most: usize) -> Self {
-        Self { connections: BTreeMap::new(), next: 1, most, draining: false, idle: VecDeque::new() }
+        Self { connections: BTreeMap::new(), next: 1, most, draining: false }
     }
 
     /// Whether one more connection fits; an idle one is closed to make room.
@@ -85,9 +85,17 @@
                 let state = State::Idle;
                 self.connections.insert(
                     id,
-                    Connection { stream, input, output, state, close: false, linger: false, since: now },
+                    Connection {
+                        stream,
+                        input,
+                        output,
+                        state,
+                        close: false,
+                        linger: false,
+                        begun: false,
+                        since: now,
+                    },
                 );
-                self.idle.push_back((now, id));
             }
             Err(e) => tracing::warn!("connection not taken: {e}"),
         }
@@ -101,8 +109,6 @@
                 core.gone(Asker::Http(id));
             }
             self.connections.remove(&id);
-        } else if matches!(connection.state, State::Idle) && connection.since == now {
-            self.idle.push_back((now, id));
         }
     }
 
@@ -139,37 +145,35 @@
         }
     }
 
-    /// When the oldest wait for a client is over.
+    /// When the first client has kept it waiting for too long.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
-        self.idle.front().map(|(since, _)| since + SLOWEST_REQUEST)
+        self.connections.values().filter_map(Connection::deadline).min()
     }
 
-    /// Closes connections whose clients have kept it waiting for too long.
+    /// Cuts off clients that have kept it waiting for too long.
     pub fn expire(&mut self, now: Micros) {
-        while let Some(&(since, id)) = self.idle.front().filter(|(at, _)| at + SLOWEST_REQUEST <= now) {
-            self.idle.pop_front();
-            let Some(c) = self.connections.get_mut(&id).filter(|c| c.since <= since) else { continue };
-            let begun = !c.input.is_empty() || matches!(c.state, State::Body(..));
-            match c.state {
-                State::Idle | State::Body(..) if begun => {
-                    c.refuse_input(Bad(408, "the request did not come in time"));
-                    if !c.flush() {
-                        self.connections.remove(&id);
-                    } else {
-                        c.since = now;
-                        self.idle.push_back((now, id));
-                    }
-                }
-                State::Idle if now >= c.since + LONGEST_IDLE => drop(self.connections.remove(&id)),
-                State::Closing | State::Lingering => drop(self.connections.remove(&id)),
-                _ => self.idle.push_back((now, id)),
+        self.connections.retain(|_, c| match c.deadline() {
+            Some(at) if at <= now && c.begun => {
+                c.refuse_input(now, Bad(408, "the request did not come in time"));
+                c.flush()
             }
-        }
+            Some(at) => at > now,
+            None => true,
+        });
     }
 }
 
 impl Connection {
+    /// When the client has kept it waiting for too long.
+    fn deadline(&self) -> Option<Micros> {
+        match self.state {
+            State::Asked if self.output.is_empty() => None,
+            State::Idle if !self.begun && self.output.is_empty() => Some(self.since + LONGEST_IDLE),
+            _ => Some(self.since + SLOWEST),
+        }
+    }
+
     /// Goes on as far as the socket lets it; `false` when the connection is over.
     fn ready(&mut self, now: Micros, id: u64, core: &mut Core, draining: bool) -> bool {
         if !self.flush() {
@@ -186,9 +190,15 @@
                 match self.step(now, id, core, draining) {
                     Ok(true) => moved = true,
                     Ok(false) => break,
-                    Err(bad) => self.refuse_input(bad),
+                    Err(bad) => self.refuse_input(now, bad),
                 }
             }
+            let begun = matches!(self.state, State::Body(..))
+                || (matches!(self.state, State::Idle) && !self.input.is_empty());
+            if begun && !self.begun {
+                self.since = now;
+            }
+            self.begun = begun;
             if !self.flush() || end == ReadEnd::Closed {
                 return false;
             }
@@ -237,11 +247,11 @@
     }
 
     /// Framing is lost, so nothing more can be read from this client.
-    fn refuse_input(&mut self, Bad(status, words): Bad) {
+    fn refuse_input(&mut self, now: Micros, Bad(status, words): Bad) {
         tracing::debug!("bad request: {words}");
         self.output.extend(http1::write(status, &[], &error(words), true));
         self.state = State::Closing;
-        self.linger = true;
+        (self.linger, self.begun, self.since) = (true, false, now);
     }
 
     /// Writes what the socket takes; `false` when the connection is over.
--- a/src/gatherer.rs
+++ b/src/gatherer.rs
@@ -17,6 +17,12 @@
 
 /// Descriptors kept for what is neither a client nor a host: the loop, discovery, listeners, the log.
 const RESERVED: usize = 16;
+/// Most connections of each kind, so that their full buffers together stay well inside 192 MB: at the
+/// worst 80 KB of input and 70 KB of output for an HTTP client, 1 MB for a Flight client (16 streams of
+/// 64 KB), 0.5 MB for a host.
+const MOST_CLIENTS: usize = 384;
+const MOST_FLIGHT_CLIENTS: usize = 64;
+const MOST_HOST_CONNECTIONS: usize = 128;
 /// How long accepting rests when no more descriptors are to be had.
 const REST: Micros = 50_000;
 
@@ -49,6 +55,7 @@
         let core = Core::new(config.seed, config.site, config.bounds).map_err(|e| e.to_string())?;
         let known = discovery::parse(&config.known).map_err(|e| format!("known: {e}"))?;
         let room = config.links.sockets.saturating_sub(RESERVED);
+        let share = |part: usize, most: usize| (room / part).clamp(1, most);
         let listener = Listener::bind(&handle, config.listen, Gatherer::http_accept)
             .map_err(|e| format!("{}: {e}", config.listen))?;
         let bind =
@@ -58,10 +65,10 @@
             clock,
             lifecycle: Lifecycle::default(),
             core,
-            http: http::Front::new(room / 2),
-            flight: flight::Front::new(room / 8, config.seed),
+            http: http::Front::new(share(2, MOST_CLIENTS)),
+            flight: flight::Front::new(share(8, MOST_FLIGHT_CLIENTS), config.seed),
             flight_listener,
-            pool: Pool::new(config.links, config.flight.clone(), room / 4),
+            pool: Pool::new(config.links, config.flight.clone(), share(4, MOST_HOST_CONNECTIONS)),
             discovery: Discovery::new(config.discovery, known.generation),
             roster: Roster::default(),
             zones,
@@ -133,8 +140,9 @@
             self.effect(now, effect);
         }
         self.collect(now);
-        let busy = self.core.open() > 0 || self.http.busy() || self.flight.busy();
         let before = self.lifecycle.phase();
+        let serving = matches!(before, Phase::Starting | Phase::Serving);
+        let busy = serving || self.core.open() > 0 || self.http.busy() || self.flight.busy();
         let phase = self.lifecycle.step(now, busy);
         if before == Phase::Draining && phase != Phase::Draining {
             self.http_accept();
--- a/src/upstream/flight.rs
+++ b/src/upstream/flight.rs
@@ -26,7 +26,7 @@
 use crate::upstream::Report;
 
 /// Longest answer to a part that is taken from a host.
-const LONGEST: usize = 4 * 1024 * 1024;
+const LONGEST: usize = 256 * 1024;
 /// With nothing heard for so long while something is out, new parts take another connection.
 const SILENT: Micros = 1_000_000;
 
--- a/src/upstream/frames.rs
+++ b/src/upstream/frames.rs
@@ -5,8 +5,8 @@
 use crate::core::Send;
 use crate::interface::Outcome;
 
-/// Longest frame taken from a host.
-pub const LONGEST: usize = 1024 * 1024;
+/// Longest frame taken from a host: a value has to fit into a body of 64 KiB.
+pub const LONGEST: usize = 65 * 1024;
 
 fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
     let length = u32::try_from(rest.len() + 1).unwrap_or(u32::MAX);
--- a/tests/gatherer.rs
+++ b/tests/gatherer.rs
@@ -266,3 +266,98 @@
     raw 400
     ");
 }
+
+// Guards against taking a broken answer for a sign that the part never ran.
+#[test]
+fn nonsense_from_a_host_may_have_run() {
+    assert_snapshot!(both("
+        send a place-hold 3000 0
+        expect part 0
+        send part 0 nonsense
+        expect a
+        expect runs 0
+        send b search 3000 1
+        expect part 1
+        send part 1 nonsense
+        expect part 1
+        send part 1 good x
+        expect b
+    "), @r"
+    part 0
+    a: failed
+    runs 0: 1
+    part 1
+    part 1
+    b: whole 1=x
+    ");
+}
+
+// Guards the way back after discovery fails: the watch is asked for again, and what changed is heeded.
+#[test]
+fn discovery_fails_and_comes_back() {
+    assert_snapshot!(both("
+        send roster fail
+        send roster 0 left
+        send roster fail
+        send roster 1 left
+        send a search 3000 0 1 2 3
+        expect part 3
+        expect hosts
+    "), @r"
+    part 3
+    hosts {2}
+    ");
+}
+
+// A refused stream has never run, so even a hold goes elsewhere.
+#[test]
+fn a_refused_stream_never_ran() {
+    assert_snapshot!(play(Wire::Flight, "
+        send a place-hold 3000 0
+        expect part 0
+        send part 0 refused
+        expect part 0
+        send part 0 good x
+        expect a
+        expect runs 0
+    "), @r"
+    part 0
+    part 0
+    a: whole 0=x
+    runs 0: 2
+    ");
+}
+
+// The stream lies above the last one that the GOAWAY names: it has never run, though the connection ends
+// in the same breath.
+#[test]
+fn a_stream_above_the_last_of_a_goaway_never_ran() {
+    assert_snapshot!(play(Wire::Away(0), "
+        send a place-hold 3000 0
+        expect part 0
+        expect part 0
+        send part 0 good x
+        expect a
+        expect runs 0
+    "), @r"
+    part 0
+    part 0
+    a: whole 0=x
+    runs 0: 2
+    ");
+}
+
+// Guards against a second run: the GOAWAY covers the stream, and then the connection ends.
+#[test]
+fn a_stream_below_the_last_of_a_goaway_may_have_run() {
+    assert_snapshot!(play(Wire::Away(1), "
+        send a place-hold 3000 0
+        expect part 0
+        expect a
+        expect runs 0
+    "), @r"
+    part 0
+    a: failed
+    runs 0: 1
+    ");
+}
--- a/tests/scenario/flight.rs
+++ b/tests/scenario/flight.rs
@@ -17,6 +17,7 @@
 };
 use prost::Message;
 use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::unbounded_channel;
 
@@ -42,7 +43,7 @@
 }
 
 /// A host that offers Flight.
-pub fn host(number: usize, events: Sender<Event>) -> SocketAddr {
+pub fn host(number: usize, events: Sender<Event>, away: Arc<Mutex<Option<u32>>>) -> SocketAddr {
     let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = socket.local_addr().expect("an address");
     socket.set_nonblocking(true).expect("a socket");
@@ -50,6 +51,10 @@
         let listener = TcpListener::from_std(socket).expect("a listener");
         while let Ok((socket, _)) = listener.accept().await {
             let events = events.clone();
+            if let Some(last) = away.lock().expect("a sound lock").take() {
+                tokio::task::spawn_local(go_away(number, socket, events, last));
+                continue;
+            }
             tokio::task::spawn_local(async move {
                 let mut connection = h2::server::handshake(socket).await.ok()?;
                 while let Some(Ok((request, respond))) = connection.accept().await {
@@ -62,6 +67,31 @@
     addr
 }
 
+/// Reads one whole request off raw HTTP/2, then says which streams it has looked at and closes.
+async fn go_away(number: usize, mut socket: TcpStream, events: Sender<Event>, last: u32) -> Option<()> {
+    let mut preface = [0; 24];
+    socket.read_exact(&mut preface).await.ok()?;
+    let mut frames = Deframer::new(1 << 20);
+    let ticket = loop {
+        let mut head = [0; 9];
+        socket.read_exact(&mut head).await.ok()?;
+        let mut body = vec![0; u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize];
+        socket.read_exact(&mut body).await.ok()?;
+        if head[3] == 0 {
+            frames.push(&body);
+            if let Some(message) = frames.take().expect("a message") {
+                break Ticket::decode(message).expect("a ticket");
+            }
+        }
+    };
+    let ticket: Value = serde_json::from_slice(&ticket.ticket).expect("JSON");
+    let shard = ticket["range"].as_u64().expect("a shard") as u32;
+    drop(events.send(Event::Part(number, shard, Box::new(|_| {}))));
+    let settings = [0, 0, 0, 4, 0, 0, 0, 0, 0];
+    let away = [&[0, 0, 8, 7, 0, 0, 0, 0, 0], &last.to_be_bytes()[..], &[0; 4]].concat();
+    socket.write_all(&[&settings[..], &away].concat()).await.ok()
+}
+
 async fn do_get(
     number: usize,
     request: Request<RecvStream>,
@@ -83,9 +113,17 @@
         _ = std::future::poll_fn(|cx| respond.poll_reset(cx)) => None,
     };
     let Some(reply) = reply else { return drop(events.send(Event::Cancel(shard))) };
+    if matches!(&reply, Reply::End(end, _) if end == "refused") {
+        return respond.send_reset(Reason::REFUSED_STREAM);
+    }
     let response = Response::builder().header("content-type", "application/grpc").body(());
     let mut stream = respond.send_response(response.expect("a head"), false).expect("a stream");
     let rows = match reply {
+        Reply::End(end, _) if end == "nonsense" => {
+            let data_header = Bytes::from_static(b"no flatbuffer");
+            let message = FlightData { data_header, ..FlightData::default() };
+            return stream.send_data(frame(&message).into(), true).expect("room");
+        }
         Reply::End(end, value) => [(shard, end, value)],
         Reply::Cut => {
             // An answer that looks good, and then the stream breaks off.
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,8 +3,10 @@
 //!
 //! ```text
 //! send NAME KIND MS SHARD...      a client sends a query
-//! send part SHARD good VALUE      a host answers the part that was expected last (or: bad, later)
+//! send part SHARD good VALUE      a host answers the part that was expected last (or: bad, later; or
+//!                                 nonsense, which is no answer at all; on Flight also refused, a reset)
 //! send roster HOST STATE          discovery tells that a host is now in that state
+//! send roster fail                discovery answers 503
 //! send raw TEXT                   a client sends these bytes, in Rust's escapes
 //! send term                       the program gets SIGTERM
 //! expect part SHARD               a host has got the part
@@ -41,6 +43,9 @@
 pub enum Wire {
     Http,
     Flight,
+    /// As Flight, but the first connection to any host ends with a GOAWAY that names this stream as the
+    /// last one that the host has looked at.
+    Away(u32),
 }
 
 /// What a host does about a part.
@@ -173,13 +178,14 @@
 impl World {
     fn new(wire: Wire) -> Self {
         let (sender, events) = channel();
+        let away = Arc::new(Mutex::new(if let Wire::Away(last) = wire { Some(last) } else { None }));
         let host = |i| match wire {
             Wire::Http => plain::host(i, sender.clone()),
-            Wire::Flight => flight::host(i, sender.clone()),
+            Wire::Flight | Wire::Away(_) => flight::host(i, sender.clone(), Arc::clone(&away)),
         };
         let hosts: Vec<SocketAddr> = (0..HOSTS).map(host).collect();
         let roster = plain::Roster::start();
-        let offers = if wire == Wire::Flight { json!("all") } else { json!([]) };
+        let offers = if wire == Wire::Http { json!([]) } else { json!("all") };
         let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": offers}});
         let program = Program::start(&config(&hosts, roster.addr), &operator);
         Self {
@@ -229,6 +235,7 @@
                 let value = words.get(4).copied().unwrap_or_default();
                 self.replies[&number(2)](Reply::End(end.to_owned(), value.to_owned()));
             }
+            ["send", "roster", "fail"] => self.roster.fail(),
             ["send", "roster", _, state] => {
                 let host = number(2) as usize;
                 self.roster.tell(&plain::instance(host, self.hosts[host], state));
@@ -257,7 +264,7 @@
                 let answer = move |text: String| drop(sender.send(Event::Answer(name.clone(), text)));
                 let close = match self.wire {
                     Wire::Http => plain::ask(self.program.http, query, answer),
-                    Wire::Flight => flight::ask(self.program.flight, query, answer),
+                    Wire::Flight | Wire::Away(_) => flight::ask(self.program.flight, query, answer),
                 };
                 self.clients.insert(words[1].to_owned(), close);
             }
--- a/tests/scenario/plain.rs
+++ b/tests/scenario/plain.rs
@@ -62,6 +62,7 @@
         text = after;
         let (id, socket) = (id.to_owned(), socket.try_clone().expect("a socket"));
         let reply = move |reply: Reply| match reply {
+            Reply::End(end, _) if end == "nonsense" => (&socket).write_all(&frame(b'z', "")).expect("room"),
             Reply::End(end, value) => {
                 let answer = frame(b'q', &format!("{id} {end} 0 util=0.5\n{value}"));
                 (&socket).write_all(&answer).expect("a connection");
@@ -97,9 +98,8 @@
                 // A head ends with an empty line; nothing follows a GET.
                 while lines.by_ref().map_while(Result::ok).any(|line| line.is_empty()) {
                     ask.send(()).expect("a test");
-                    let Ok(body) = told.recv() else { return };
-                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-                    if socket.write_all((head + &body).as_bytes()).is_err() {
+                    let Ok(answer) = told.recv() else { return };
+                    if socket.write_all(answer.as_bytes()).is_err() {
                         break;
                     }
                 }
@@ -108,16 +108,24 @@
         Self { addr, news, asked, asked_again: Cell::new(false), generation: Cell::new(1) }
     }
 
-    /// Answers the watch. The program has read that once it asks again.
     pub fn tell(&self, instance: &Value) {
-        if !self.asked_again.get() {
-            self.asked.recv_timeout(PATIENCE).expect("a watch");
-        }
         self.generation.set(self.generation.get() + 1);
         let list = json!({"generation": self.generation.get(), "reset": false, "instances": [instance]});
-        self.news.send(list.to_string()).expect("discovery runs");
+        self.answer("200 OK", &list.to_string());
+    }
+
+    pub fn fail(&self) {
+        self.answer("503 Service Unavailable", "");
+    }
+
+    /// Answers the watch. The program has read that once it asks again.
+    fn answer(&self, status: &str, body: &str) {
+        if !self.asked_again.replace(true) {
+            self.asked.recv_timeout(PATIENCE).expect("a watch");
+        }
+        let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
+        self.news.send(head + body).expect("discovery runs");
         self.asked.recv_timeout(PATIENCE).expect("the next watch");
-        self.asked_again.set(true);
     }
 }
 
