Hold documents against the program, test the core alone, and keep parts from a late probe's answer

Seen: reading FrameLink::expire showed that a probe given up at DialTimeout left its answer to arrive as 'an answer to no probe', which cut the connection and every part out on it (pool.rs, Said::Probe). A host with work in its queue answers probes late, so this would cost harmless parts. Late answers are now counted off; a scenario holds a part on the connection meanwhile.

--- a/src/core.rs
+++ b/src/core.rs
@@ -218,7 +218,10 @@
     ///
     /// # Errors
     /// The final answer of a query that does not reach the router.
-    pub fn ask(&mut self, now: Micros, asker: Asker, ask: Ask) -> Result<(), Answer> {
+    pub fn ask(&mut self, now: Micros, asker: Asker, mut ask: Ask) -> Result<(), Answer> {
+        // No class is waited for beyond its own time, whatever a client says, so that what hangs does not
+        // hold its place for ever.
+        ask.expires_in = ask.expires_in.min(self.deadline(ask.class));
         let invalid = |what| Err(Answer::Failed(Failure::Invalid(what)));
         if ask.parts.is_empty() {
             return invalid("a query needs a part");
--- a/src/front/flight.rs
+++ b/src/front/flight.rs
@@ -481,6 +481,6 @@
     let id = text("id").filter(|id| query::is_id(id)).ok_or("id is missing or odd")?;
     let class = text("kind").and_then(|name| core.class(name)).ok_or("the class is unknown")?;
     let retry = command.get("retry").and_then(Value::as_bool).unwrap_or(false);
-    let expires_in = wait.unwrap_or_else(|| core.deadline(class)).min(core.deadline(class));
+    let expires_in = wait.unwrap_or_else(|| core.deadline(class));
     query::read(Frame { id: id.into(), class, expires_in, retry }, command)
 }
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -190,7 +190,10 @@
                 match self.step(now, id, core, draining) {
                     Ok(true) => moved = true,
                     Ok(false) => break,
-                    Err(bad) => self.refuse_input(now, bad),
+                    Err(bad) => {
+                        self.refuse_input(now, bad);
+                        moved = true;
+                    }
                 }
             }
             let begun = matches!(self.state, State::Body(..))
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -257,6 +257,7 @@
     writing: Option<(Frame, Vec<u8>)>,
     out: BTreeMap<String, Out>,
     probes: VecDeque<Micros>,
+    late_probes: u32,
     input: Vec<u8>,
     heard: Micros,
     /// The last time that something went either way.
@@ -273,6 +274,7 @@
             writing: None,
             out: BTreeMap::new(),
             probes: VecDeque::new(),
+            late_probes: 0,
             input: Vec::new(),
             heard: now,
             used: now,
@@ -405,6 +407,9 @@
                         reports.push(Report::Ended(out.attempt, outcome, value));
                     }
                 }
+                // Answers to probes come in order: first those that are no longer waited for. Guards
+                // against a busy host's late answer costing the parts that are out here.
+                Said::Probe(_) if self.late_probes > 0 => self.late_probes -= 1,
                 Said::Probe(passed) => {
                     self.probes.pop_front().ok_or("an answer to no probe")?;
                     reports.push(Report::Probed(self.server, passed));
@@ -434,12 +439,12 @@
             return false;
         }
         if self.probes.front().is_some_and(|&until| until <= now) {
-            // Answers come in order, so a late one could be taken for the next: the connection goes, or
-            // with parts out on it only this wait.
+            // A connection with nothing else on it may be dead, and goes with its probe.
             if self.out.values().all(|out| out.given_up) {
                 return false;
             }
-            self.probes.clear();
+            self.probes.pop_front();
+            self.late_probes += 1;
             reports.push(Report::Probed(self.server, false));
         }
         let waiting = self.out.values().any(|out| !out.given_up);
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,188 @@
+//! The core alone, on a clock of its own.
+
+mod scenario;
+
+use insta::assert_snapshot;
+use scenario::inner::inside;
+
+// Guards the cost of calls: what a turn sends to one host is one call, for several queries too.
+#[test]
+fn sends_of_a_turn_share_a_call() {
+    assert_snapshot!(inside("
+        wait 10
+        send a search 3000 0 1 2 3
+        send b search 3000 4 5
+        wait 5
+        expect
+    "), @r"
+    0 ms Watch
+    10 ms call host 0 [0, 4]
+    10 ms call host 1 [1]
+    10 ms call host 2 [2, 3, 5]
+    ");
+}
+
+// Guards against a turn for each event: the next comes a tick after the last.
+#[test]
+fn events_gather_until_the_next_turn() {
+    assert_snapshot!(inside("
+        wait 10
+        send a search 3000 0
+        wait 1
+        send b search 3000 1
+        wait 1
+        send c search 3000 2
+        wait 10
+        expect
+    "), @r"
+    0 ms Watch
+    10 ms call host 0 [0]
+    15 ms call host 1 [1, 2]
+    ");
+}
+
+#[test]
+fn an_answer_goes_out_in_the_turn_after_the_last_part() {
+    assert_snapshot!(inside("
+        send a place-hold 3000 0 1
+        wait 100
+        send part 0 good x
+        wait 100
+        send part 1 good y
+        wait 100
+        expect
+    "), @r"
+    0 ms Watch
+    5 ms call host 0 [0]
+    5 ms call host 1 [1]
+    200 ms a: whole 0=x 1=y
+    ");
+}
+
+// Guards against holding an answer back: a hold that cannot be repeated fails in the same turn.
+#[test]
+fn a_lost_hold_fails_at_once_and_drops_the_rest() {
+    assert_snapshot!(inside("
+        send a place-hold 3000 0 1
+        wait 100
+        send part 0 bad
+        wait 1000
+        expect
+    "), @r"
+    0 ms Watch
+    5 ms call host 0 [0]
+    5 ms call host 1 [1]
+    100 ms a: Parts
+    100 ms abandon host 1
+    1100 ms Probe(ServerId(0))
+    ");
+}
+
+#[test]
+fn the_end_of_the_time_is_answered_before_it() {
+    assert_snapshot!(inside("
+        send a place-hold 400 0
+        wait 1000
+        expect
+    "), @r"
+    0 ms Watch
+    5 ms call host 0 [0]
+    390 ms a: TimeUp
+    390 ms abandon host 0
+    ");
+}
+
+#[test]
+fn nothing_is_owed_to_a_client_that_left() {
+    assert_snapshot!(inside("
+        send a search 3000 0
+        wait 100
+        close a
+        wait 100
+        send b search 3000 0
+        wait 100
+        send part 0 good x
+        wait 100
+        expect
+    "), @r"
+    0 ms Watch
+    5 ms call host 0 [0]
+    100 ms abandon host 0
+    200 ms call host 2 [0]
+    300 ms b: whole 0=x
+    ");
+}
+
+// Guards the bound: queries and parts are counted, and room comes back with the answer.
+#[test]
+fn the_bound_on_what_is_open_holds() {
+    assert_snapshot!(inside("
+        send a search 3000 0 1 2 3 4 5 6 7 8
+        send b search 3000 0 1 2 3 4 5 6 7 8
+        send c search 3000 0
+        wait 100
+        close a
+        send d search 3000 0 1 2 3 4 5 6 7 8
+        wait 100
+        expect
+    "), @r"
+    0 ms Watch
+    0 ms c: refused, untouched
+    5 ms call host 0 [0, 4, 5, 0, 1, 2, 5, 6, 8]
+    5 ms call host 1 [1, 8, 4, 7]
+    5 ms call host 2 [2, 3, 6, 7, 3]
+    100 ms call host 0 [3, 6, 7, 8]
+    100 ms call host 1 [0]
+    100 ms call host 2 [1, 2, 4, 5]
+    100 ms abandon host 0
+    100 ms abandon host 1
+    100 ms abandon host 2
+    100 ms abandon host 2
+    100 ms abandon host 0
+    100 ms abandon host 0
+    100 ms abandon host 2
+    100 ms abandon host 2
+    100 ms abandon host 1
+    ");
+}
+
+// An id names parts on their way to hosts, so two open queries must not share one.
+#[test]
+fn an_id_that_is_open_is_not_taken_again() {
+    assert_snapshot!(inside("
+        send a search 3000 0
+        send a search 3000 0
+        wait 100
+        expect
+    "), @r#"
+    0 ms Watch
+    0 ms a: Invalid("a query of this id is open")
+    5 ms call host 0 [0]
+    "#);
+}
+
+#[test]
+fn a_spent_deadline_is_said() {
+    assert_snapshot!(inside("
+        send a search 0 0
+        expect
+    "), @r"
+    0 ms Watch
+    0 ms a: TimeUp
+    ");
+}
+
+// Guards the room for queries: a client that states an endless time does not keep its place.
+#[test]
+fn no_query_outlasts_its_class() {
+    assert_snapshot!(inside("
+        send a place-hold 3600000 0
+        wait 10000
+        expect
+    "), @r"
+    0 ms Watch
+    5 ms call host 0 [0]
+    3990 ms a: TimeUp
+    3990 ms abandon host 0
+    ");
+}
--- a/tests/gatherer.rs
+++ b/tests/gatherer.rs
@@ -361,3 +361,32 @@
     runs 0: 1
     ");
 }
+
+// Guards the parts on a connection against the late answer to a probe that was given up.
+#[test]
+fn a_late_answer_to_a_probe_costs_nothing() {
+    assert_snapshot!(play(Wire::Http, "
+        send roster 0 left
+        send roster 1 left
+        send a place-hold 3000 0
+        expect part 0
+        send part 0 bad
+        expect a
+        send b search 4000 1
+        expect part 1
+        expect probe
+        wait 400
+        send probe
+        wait 100
+        send part 1 good x
+        expect b
+        expect runs 1
+    "), @r"
+    part 0
+    a: failed
+    part 1
+    probe
+    b: whole 1=x
+    runs 1: 1
+    ");
+}
--- /dev/null
+++ b/tests/promises.rs
@@ -0,0 +1,226 @@
+//! What the documents promise, held against what the program does.
+
+mod scenario;
+
+use std::collections::BTreeSet;
+use std::net::TcpStream;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::mpsc::channel;
+
+use insta::assert_snapshot;
+use mallowgauge::core::{AttemptId, Send};
+use mallowgauge::upstream::frames;
+use mallowgauge::{PartId, ShardId};
+use regex::Regex;
+use scenario::{config, plain, play_within, spawn, Event, Program, Query, Reply, Wire, HOSTS};
+use serde_json::{json, Value};
+
+fn text(path: &str) -> String {
+    std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join(path)).expect("a file")
+}
+
+fn document(path: &str) -> Value {
+    serde_json::from_str(&text(path)).expect("JSON")
+}
+
+#[test]
+fn the_http_front_does_what_its_description_says() {
+    let api = document("api/openapi.json");
+    let (sender, events) = channel();
+    let hosts: Vec<_> = (0..HOSTS).map(|i| plain::host(i, sender.clone(), false)).collect();
+    let roster = plain::Roster::start();
+    let operator = json!({"flight": {"listen": "127.0.0.1:0"}});
+    let program = Program::start(&config(&hosts, roster.addr), &operator, 1024);
+    // Shard 0 answers, shard 1 fails, the others say nothing.
+    std::thread::spawn(move || {
+        for event in events {
+            match event {
+                Event::Part(_, 0, reply) => reply(Reply::End("good".into(), "x \"y\"".into())),
+                Event::Part(_, 1, reply) => reply(Reply::End("bad".into(), String::new())),
+                _ => {}
+            }
+        }
+    });
+    let valid = |schema: &Value, value: &Value| {
+        let whole = json!({"allOf": [schema], "components": api["components"]});
+        jsonschema::validate(&whole, value).unwrap_or_else(|e| panic!("{value}: {e}"));
+    };
+    let mut seen: BTreeSet<(String, String, u16)> = BTreeSet::new();
+    let mut exchange = |path: &str, method: &str, request: &str| {
+        let socket = TcpStream::connect(program.http).expect("a connection");
+        let (status, _, body) = plain::exchange(&socket, request).expect("a response");
+        let described = &api["paths"][path][method]["responses"][status.to_string()];
+        assert!(described.is_object(), "{method} {path} gave {status}, which is not described");
+        let schema = &described["content"]["application/json"]["schema"];
+        if schema.is_object() {
+            valid(schema, &serde_json::from_str(&body).expect("JSON"));
+        }
+        seen.insert((path.to_owned(), method.to_owned(), status));
+    };
+    let query = |id: u32, kind: &str, ms: u64, shards: &[u32]| {
+        let share = 1.0 / shards.len() as f64;
+        let ranges: Vec<Value> = shards.iter().map(|s| json!({"range": s, "portion": share})).collect();
+        let body = json!({"ranges": ranges, "predicate": "c41e77d0"});
+        valid(&json!({"$ref": "#/components/schemas/Query"}), &body);
+        Query { id: id.to_string(), kind: kind.to_owned(), ms, body }
+    };
+    exchange("/healthz", "get", "GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n");
+    exchange("/api", "post", &plain::request(&query(1, "search", 3000, &[0])));
+    exchange("/api", "post", &plain::request(&query(2, "browse", 3000, &[0])));
+    exchange("/api", "post", &plain::request(&query(3, "place-hold", 3000, &[1])));
+    exchange("/api", "post", &plain::request(&query(4, "place-hold", 300, &[2])));
+    exchange("/api", "post", "POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n");
+    exchange("/api", "post", &format!("POST /api HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(17_000)));
+    // Two queries of nine leave no room for a third; nobody reads their answers.
+    let silent = [2, 3, 4, 5, 6, 7, 8, 9];
+    let open = [5, 6].map(|id| plain::ask(program.http, query(id, "search", 60_000, &silent), drop));
+    exchange("/api", "post", &plain::request(&query(7, "search", 3000, &silent)));
+    open.into_iter().for_each(|close| close());
+    let described: BTreeSet<(String, String, u16)> = api["paths"]
+        .as_object()
+        .expect("paths")
+        .iter()
+        .flat_map(|(path, methods)| methods.as_object().expect("methods").iter().map(move |m| (path, m)))
+        .flat_map(|(path, (method, operation))| {
+            let statuses = operation["responses"].as_object().expect("responses").keys();
+            statuses.map(move |s| (path.clone(), method.clone(), s.parse().expect("a status")))
+        })
+        .collect();
+    // These two take a wait of 20 s and a stop.
+    let unseen: Vec<_> =
+        described.difference(&seen).map(|(path, _, status)| (path.as_str(), *status)).collect();
+    assert_eq!(unseen, [("/api", 408), ("/healthz", 503)]);
+}
+
+#[test]
+fn the_messages_to_hosts_are_as_described() {
+    let api = document("api/asyncapi.json");
+    let messages = &api["components"]["messages"];
+    let fits = |name: &str, bytes: &[u8]| {
+        let message = &messages[name];
+        let rest = std::str::from_utf8(&bytes[5..]).expect("text");
+        assert_eq!(u32::from_be_bytes(bytes[..4].try_into().expect("a length")) as usize, bytes.len() - 4);
+        assert_eq!(message["x-letter"], std::str::from_utf8(&bytes[4..5]).expect("a letter"), "{name}");
+        jsonschema::validate(&message["payload"], &json!(rest)).unwrap_or_else(|e| panic!("{name}: {e}"));
+    };
+    let send = |shard: u32| Send {
+        attempt: AttemptId { part: PartId(shard.into()), number: 0 },
+        query: Rc::from("9b1f03aa5c7e2d41"),
+        shard: ShardId(shard),
+        wait: 240_000,
+        text: b"c41e77d0".as_slice().into(),
+    };
+    fits("call", &frames::call(&[send(3)]));
+    fits("call", &frames::call(&[send(3), send(4)]));
+    fits("giveUp", &frames::give_up(&frames::part_name(&send(3))));
+    fits("probe", &frames::probe());
+    let mut heard = Vec::new();
+    for name in ["end", "probed", "useless"] {
+        for example in messages[name]["examples"].as_array().expect("examples") {
+            let payload = example["payload"].as_str().expect("text");
+            let letter = messages[name]["x-letter"].as_str().expect("a letter");
+            let length = u32::try_from(payload.len() + 1).expect("a length").to_be_bytes();
+            let bytes = [&length[..], letter.as_bytes(), payload.as_bytes()].concat();
+            fits(name, &bytes);
+            heard.push(format!("{:?}", frames::read(&bytes).expect("a frame").expect("a whole one").0));
+        }
+    }
+    assert_snapshot!(heard.join("\n"), @r#"
+    End("9b1f03aa5c7e2d41.3", Served, "5be2a07c19f04d63")
+    End("9b1f03aa5c7e2d41.3", Fault, "")
+    End("9b1f03aa5c7e2d41.3", NoRoom, "")
+    Probe(true)
+    Probe(false)
+    Useless("too long")
+    "#);
+}
+
+// Guards the on-call page: every line that it lists is written by the program, and the other way round.
+#[test]
+fn the_on_call_page_lists_the_lines_that_are_logged() {
+    let macros = Regex::new(r#"tracing::(info|warn|error)!\(\s*"([^"]*)""#).expect("a pattern");
+    let holes = Regex::new(r"\{[^}]*\}").expect("a pattern");
+    let mut written = BTreeSet::new();
+    let mut folders = vec![Path::new(env!("CARGO_MANIFEST_DIR")).join("src")];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            let source = std::fs::read_to_string(path).expect("a source");
+            for found in macros.captures_iter(&source) {
+                written.insert((found[1].to_uppercase(), holes.replace_all(&found[2], "…").into_owned()));
+            }
+        }
+    }
+    let row = Regex::new(r"(?m)^\| (INFO|WARN|ERROR) \| `([^`]*)` \|").expect("a pattern");
+    let page = text("docs/on-call.md");
+    let listed: BTreeSet<_> =
+        row.captures_iter(&page).map(|found| (found[1].to_owned(), found[2].to_owned())).collect();
+    assert_eq!(listed, written);
+}
+
+// Guards the start: a configuration that makes no sense ends it with one line.
+#[test]
+fn a_bad_configuration_is_one_clear_line() {
+    let none = "127.0.0.1:1".parse().expect("an address");
+    let sound = config(&[none; HOSTS], none);
+    let mut said = Vec::new();
+    let mut start = |path: &str, value: Value, operator: Value| {
+        let mut config = sound.clone();
+        if let Some(place) = config.pointer_mut(path) {
+            *place = value;
+        }
+        let output = spawn(&config, &operator, 1024).wait_with_output().expect("an end");
+        let log = String::from_utf8(output.stdout).expect("text");
+        let lines: Vec<&str> = log.lines().collect();
+        assert_eq!(lines.len(), 1, "{log}");
+        let words = lines[0].split_once("cannot go on: ").expect("the reason").1;
+        let words = words.split_once(".json: ").map_or(words, |(_, words)| words);
+        said.push(format!("{:?} {words}", output.status.code()));
+    };
+    let off = json!({"flight": {}});
+    start("/settings", json!(3), off.clone());
+    start("/settings/TickUs", json!("soon"), off.clone());
+    start("/settings/Limits/MaxOpen", json!(0), off.clone());
+    start("/settings/FamilyInfo/ClassFloor", json!([1, 1, 2]), off.clone());
+    start("/listen", json!("nowhere"), off.clone());
+    start("/seed", json!("xyz"), off.clone());
+    start("/known/instances/0/lifecycle", json!("asleep"), off.clone());
+    start("/limits/sockets", json!(4), off);
+    start("", sound.clone(), json!({"flight": {"hosts": 3}}));
+    start("", sound.clone(), json!({"flight": {"listen": "here"}}));
+    assert_snapshot!(said.join("\n"), @r#"
+    Some(1) settings is not an object
+    Some(1) settings.TickUs is not a whole number
+    Some(1) settings.Limits.MaxOpen is zero or far too large
+    Some(1) setting classes[2].floor lies outside 0 to 1
+    Some(1) listen nowhere is not an address with a port
+    Some(1) seed is not hex digits
+    Some(1) known: s-0: lifecycle is none of active, leaving, left
+    Some(1) limits.sockets is below 32
+    Some(1) flight.hosts is neither a list of ids nor "all"
+    Some(1) flight.listen here is not an address with a port
+    "#);
+}
+
+// Guards the event loop where descriptors run out: it neither ends nor spins, and goes on when it can.
+#[test]
+fn a_crowd_beyond_the_descriptors_is_survived() {
+    assert_snapshot!(play_within(Wire::Http, 40, "
+        send crowd 60
+        expect log clients wait
+        close crowd
+        send a search 3000 0
+        expect part 0
+        send part 0 good x
+        expect a
+    "), @r"
+    log clients wait
+    part 0
+    a: whole 0=x
+    ");
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -9,20 +9,24 @@
 //! send roster fail                discovery answers 503
 //! send raw TEXT                   a client sends these bytes, in Rust's escapes
 //! send term                       the program gets SIGTERM
+//! send crowd N                    so many clients connect and say nothing
 //! expect part SHARD               a host has got the part
 //! expect cancel SHARD             a host was told that nobody waits for the part
 //! expect NAME                     the client's answer
+//! expect probe                    a host has got a probe, and `send probe` answers it
 //! expect runs SHARD               how many times the part was sent so far
 //! expect hosts                    the hosts that have been sent anything so far
 //! expect raw                      the status of the answer, and whether the connection was closed
 //! expect exit                     the program's exit code
+//! expect log TEXT                 the program writes such a line
 //! close part SHARD                the host cuts the connection; on Flight, halfway through the answer
-//! close NAME                      the client goes away
+//! close NAME                      the client goes away; `crowd` for the crowd
 //! wait MS
 //! ```
 #![allow(dead_code)]
 
 pub mod flight;
+pub mod inner;
 pub mod plain;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -58,6 +62,7 @@
 pub enum Event {
     Part(usize, u32, Box<dyn Fn(Reply) + Send>),
     Cancel(u32),
+    Probe(Box<dyn Fn() + Send>),
     Answer(String, String),
 }
 
@@ -106,8 +111,8 @@
            "known": {"generation": 1, "reset": true, "instances": known}, "settings": settings()})
 }
 
-/// The program, started with these files; `stdout` is its log.
-pub fn spawn(config: &Value, operator: &Value) -> Child {
+/// The program, started with these files and so many descriptors; `stdout` is its log.
+pub fn spawn(config: &Value, operator: &Value, descriptors: u32) -> Child {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let file = |what: &str, value: &Value| {
@@ -116,7 +121,9 @@
         std::fs::write(&path, value.to_string()).expect("a file in the temporary folder");
         path
     };
-    Command::new(env!("CARGO_BIN_EXE_mallowgauge"))
+    Command::new("sh")
+        .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\" \"$1\"")])
+        .arg(env!("CARGO_BIN_EXE_mallowgauge"))
         .arg(file("operator", operator))
         .env("RELAY_CONFIG", file("config", config))
         .stdout(Stdio::piped())
@@ -125,8 +132,8 @@
 }
 
 impl Program {
-    pub fn start(config: &Value, operator: &Value) -> Self {
-        let mut child = spawn(config, operator);
+    pub fn start(config: &Value, operator: &Value, descriptors: u32) -> Self {
+        let mut child = spawn(config, operator, descriptors);
         let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
         let mut listens = |what: &str| loop {
             let line = lines.next().expect("the program goes on").expect("text");
@@ -171,23 +178,25 @@
     runs: BTreeMap<u32, u32>,
     used: BTreeSet<usize>,
     clients: BTreeMap<String, Box<dyn FnOnce()>>,
+    probe: Option<Box<dyn Fn() + Send>>,
     raw: Option<TcpStream>,
+    crowd: Vec<TcpStream>,
     next: u32,
 }
 
 impl World {
-    fn new(wire: Wire) -> Self {
+    fn new(wire: Wire, descriptors: u32, probes: bool) -> Self {
         let (sender, events) = channel();
         let away = Arc::new(Mutex::new(if let Wire::Away(last) = wire { Some(last) } else { None }));
         let host = |i| match wire {
-            Wire::Http => plain::host(i, sender.clone()),
+            Wire::Http => plain::host(i, sender.clone(), probes),
             Wire::Flight | Wire::Away(_) => flight::host(i, sender.clone(), Arc::clone(&away)),
         };
         let hosts: Vec<SocketAddr> = (0..HOSTS).map(host).collect();
         let roster = plain::Roster::start();
         let offers = if wire == Wire::Http { json!([]) } else { json!("all") };
         let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": offers}});
-        let program = Program::start(&config(&hosts, roster.addr), &operator);
+        let program = Program::start(&config(&hosts, roster.addr), &operator, descriptors);
         Self {
             wire,
             program,
@@ -200,7 +209,9 @@
             runs: BTreeMap::new(),
             used: BTreeSet::new(),
             clients: BTreeMap::new(),
+            probe: None,
             raw: None,
+            crowd: Vec::new(),
             next: 0,
         }
     }
@@ -235,6 +246,7 @@
                 let value = words.get(4).copied().unwrap_or_default();
                 self.replies[&number(2)](Reply::End(end.to_owned(), value.to_owned()));
             }
+            ["send", "probe"] => self.probe.as_ref().expect("a probe")(),
             ["send", "roster", "fail"] => self.roster.fail(),
             ["send", "roster", _, state] => {
                 let host = number(2) as usize;
@@ -247,6 +259,10 @@
                 raw.write_all(bytes.as_bytes()).expect("room in the socket");
                 self.raw = Some(raw);
             }
+            ["send", "crowd", _] => {
+                let connect = |_| TcpStream::connect(self.program.http).expect("a connection");
+                self.crowd = (0..number(2)).map(connect).collect();
+            }
             ["send", "term"] => self.program.signal(libc::SIGTERM),
             ["send", name, kind, ms, ..] => {
                 let shards = &words[4..];
@@ -284,6 +300,13 @@
             ["expect", "runs", _] => {
                 return Some(format!("runs {}: {}", words[2], self.runs.get(&number(2)).unwrap_or(&0)));
             }
+            ["expect", "probe"] => {
+                let pick = |e: &Event| matches!(e, Event::Probe(_)).then_some(());
+                if let (_, Event::Probe(reply)) = self.event(line, pick) {
+                    self.probe = Some(reply);
+                }
+                return Some("probe".to_owned());
+            }
             ["expect", "hosts"] => return Some(format!("hosts {:?}", self.used)),
             ["expect", "raw"] => {
                 let mut raw = self.raw.take().expect("raw bytes were sent");
@@ -302,6 +325,17 @@
                 let status = self.program.child.wait().expect("an exit code");
                 return Some(format!("exit {:?}", status.code()));
             }
+            ["expect", "log", ..] => {
+                let text = line.split_once("log ").expect("a text").1;
+                let written =
+                    || self.program.log.lock().expect("a sound lock").iter().any(|l| l.contains(text));
+                let tries = (0..PATIENCE.as_millis() / 20).any(|_| {
+                    std::thread::sleep(Duration::from_millis(20));
+                    written()
+                });
+                assert!(tries, "no line {text}");
+                return Some(format!("log {text}"));
+            }
             ["expect", name] => {
                 let pick = |e: &Event| match e {
                     Event::Answer(n, text) if n == name => Some(text.clone()),
@@ -309,6 +343,7 @@
                 };
                 return Some(format!("{name}: {}", self.event(line, pick).0));
             }
+            ["close", "crowd"] => self.crowd.clear(),
             ["close", "part", _] => self.replies[&number(2)](Reply::Cut),
             ["close", name] => self.clients.remove(name).expect("such a client")(),
             ["wait", _] => std::thread::sleep(Duration::from_millis(number(1).into())),
@@ -320,9 +355,18 @@
 
 /// Plays a scenario on one wire and returns its transcript.
 pub fn play(wire: Wire, scenario: &str) -> String {
-    let mut world = World::new(wire);
+    play_within(wire, 1024, scenario)
+}
+
+/// Plays a scenario with a program that may hold so many descriptors.
+pub fn play_within(wire: Wire, descriptors: u32, scenario: &str) -> String {
+    let mut world = World::new(wire, descriptors, scenario.contains("expect probe"));
+    transcript(scenario, |line| world.step(line))
+}
+
+fn transcript(scenario: &str, step: impl FnMut(&str) -> Option<String>) -> String {
     let steps = scenario.lines().map(str::trim).filter(|line| !line.is_empty());
-    steps.filter_map(|line| world.step(line)).collect::<Vec<_>>().join("\n")
+    steps.filter_map(step).collect::<Vec<_>>().join("\n")
 }
 
 /// Plays a scenario on both wires; the transcripts have to be the same.
--- a/tests/scenario/plain.rs
+++ b/tests/scenario/plain.rs
@@ -20,19 +20,19 @@
     [&length.to_be_bytes()[..], &[letter], rest.as_bytes()].concat()
 }
 
-/// A host that takes frames.
-pub fn host(number: usize, events: Sender<Event>) -> SocketAddr {
+/// A host that takes frames; whether it leaves probes to the scenario.
+pub fn host(number: usize, events: Sender<Event>, probes: bool) -> SocketAddr {
     let (listener, addr) = listener();
     std::thread::spawn(move || {
         for socket in listener.incoming().flatten() {
             let events = events.clone();
-            std::thread::spawn(move || serve(number, socket, &events));
+            std::thread::spawn(move || serve(number, socket, &events, probes));
         }
     });
     addr
 }
 
-fn serve(number: usize, mut socket: TcpStream, events: &Sender<Event>) -> Option<()> {
+fn serve(number: usize, mut socket: TcpStream, events: &Sender<Event>, probes: bool) -> Option<()> {
     loop {
         let mut head = [0; 5];
         socket.read_exact(&mut head).ok()?;
@@ -46,6 +46,11 @@
                 let shard = text.rsplit('.').next().and_then(|s| s.parse().ok());
                 drop(events.send(Event::Cancel(shard.expect("a part's id"))));
             }
+            b'o' if probes => {
+                let socket = socket.try_clone().ok()?;
+                let reply = move || (&socket).write_all(&frame(b'o', "good")).expect("a connection");
+                drop(events.send(Event::Probe(Box::new(reply))));
+            }
             b'o' => socket.write_all(&frame(b'o', "good")).ok()?,
             letter => panic!("a frame {letter}"),
         }
@@ -137,32 +142,40 @@
     mark.to_owned() + &values.concat()
 }
 
+/// Sends a request and reads the response: its status, head and body. `None` if the connection breaks.
+pub fn exchange(mut socket: &TcpStream, request: &str) -> Option<(u16, String, String)> {
+    socket.write_all(request.as_bytes()).ok()?;
+    let mut text = String::new();
+    socket.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, head.to_owned(), body.to_owned()))
+}
+
+/// A query as an HTTP request.
+pub fn request(query: &Query) -> String {
+    let (Query { id, kind, ms, .. }, body) = (query, query.body.to_string());
+    format!(
+        "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\n\
+         Req-Deadline-Ms: {ms}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 /// An HTTP client; the returned call makes it go away.
 pub fn ask(addr: SocketAddr, query: Query, answer: impl Fn(String) + Send + 'static) -> Box<dyn FnOnce()> {
     let socket = TcpStream::connect(addr).expect("a connection");
     let closer = socket.try_clone().expect("a socket");
     std::thread::spawn(move || {
-        let Query { id, kind, ms, body: sent } = query;
-        let sent = sent.to_string();
-        let head = format!(
-            "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\n\
-             Req-Deadline-Ms: {ms}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
-            sent.len()
-        );
-        (&socket).write_all((head + &sent).as_bytes()).expect("a connection");
-        let mut text = String::new();
-        if (&socket).read_to_string(&mut text).is_err() || text.is_empty() {
-            return;
-        }
-        let (head, got) = text.split_once("\r\n\r\n").expect("a head");
-        let got: Value = serde_json::from_str(got).expect("a body");
+        let Some((status, head, got)) = exchange(&socket, &request(&query)) else { return };
+        let got: Value = serde_json::from_str(&got).expect("a body");
         let advice = head.contains("\r\nRetry-After: ");
-        answer(match head.split(' ').nth(1) {
-            Some("200") => body(&got),
-            Some("503") => format!("refused{}", if advice { ", with advice" } else { "" }),
-            Some("502") => "failed".to_owned(),
-            Some("504") => "time up".to_owned(),
-            Some("400") => format!("invalid: {}", got["error"].as_str().unwrap_or_default()),
+        answer(match status {
+            200 => body(&got),
+            503 => format!("refused{}", if advice { ", with advice" } else { "" }),
+            502 => "failed".to_owned(),
+            504 => "time up".to_owned(),
+            400 => format!("invalid: {}", got["error"].as_str().unwrap_or_default()),
             other => format!("status {other:?}"),
         });
     });
