--- a/tests/core.rs
+++ b/tests/core.rs
@@ -186,3 +186,21 @@
     3990 ms abandon host 0
     ");
 }
+
+// Guards what discovery tells of cold hosts: Unix milliseconds become the core's microseconds, 0 is none.
+#[test]
+fn a_list_of_hosts_is_read() {
+    let list = serde_json::json!({"generation": 41, "reset": true, "instances": [
+        {"instanceId": "s-a", "hostPort": "127.0.0.1:7070", "zone": "a", "cell": 3, "lifecycle": "active",
+         "startedAtMs": 1_700_000_000_123_u64},
+        {"instanceId": "s-b", "hostPort": "127.0.0.1:7071", "cell": 4, "lifecycle": "leaving",
+         "startedAtMs": 0},
+        {"instanceId": "s-c", "lifecycle": "left"}]});
+    let list = mallowgauge::discovery::parse(&list).expect("a list");
+    let hosts = list.hosts.iter().map(|h| format!("{} {} {:?} {:?}", h.name, h.cell, h.phase, h.started));
+    assert_snapshot!(hosts.collect::<Vec<_>>().join("\n"), @r"
+    s-a 3 Ready Some(1700000000123000)
+    s-b 4 Draining None
+    s-c 0 Gone None
+    ");
+}
--- a/tests/gatherer.rs
+++ b/tests/gatherer.rs
@@ -215,7 +215,7 @@
         send a search 3000 0
         expect part 0
         send term
-        wait 100
+        expect log Serving -> Draining
         send b search 3000 1
         expect part 1
         send part 0 good x
@@ -225,6 +225,7 @@
         expect exit
     "), @r"
     part 0
+    log Serving -> Draining
     part 1
     a: whole 0=x
     b: whole 1=y
@@ -232,6 +233,75 @@
     ");
 }
 
+// Guards against giving up on a part with an effect that no connection was had for: it never ran.
+#[test]
+fn a_hold_for_a_dead_host_goes_elsewhere() {
+    assert_snapshot!(both("
+        send roster 0 dead
+        send roster 1 dead
+        send a place-hold 3000 0
+        expect part 0
+        send part 0 good x
+        expect a
+        expect runs 0
+        expect hosts
+    "), @r"
+    part 0
+    a: whole 0=x
+    runs 0: 1
+    hosts {2}
+    ");
+}
+
+// Guards answers that are larger than a window of HTTP/2 or the room in a socket.
+#[test]
+fn a_wide_report_is_answered_whole() {
+    assert_snapshot!(both("
+        send a sales-report 3000 0 1 2 3 4
+        expect part 0
+        expect part 1
+        expect part 2
+        expect part 3
+        expect part 4
+        send part 0 good big
+        send part 1 good big
+        send part 2 good big
+        send part 3 good big
+        send part 4 good big
+        expect a
+    "), @r"
+    part 0
+    part 1
+    part 2
+    part 3
+    part 4
+    a: whole 0=(60000 bytes) 1=(60000 bytes) 2=(60000 bytes) 3=(60000 bytes) 4=(60000 bytes)
+    ");
+}
+
+// Guards against a request on a connection that the host is about to close: idle ones go first. Here
+// hosts close after 1 s, so the program does after 0.8 s.
+#[test]
+fn an_idle_connection_is_closed_and_the_next_part_dials_anew() {
+    assert_snapshot!(both("
+        send a search 3000 0
+        expect part 0
+        send part 0 good x
+        expect a
+        expect closed
+        send b place-hold 3000 0
+        expect part 0
+        send part 0 good y
+        expect b
+    "), @r"
+    part 0
+    a: whole 0=x
+    closed
+    part 0
+    b: whole 0=y
+    ");
+}
+
 // Guards the HTTP front's framing: bad input gets a 4xx, and a close where framing is lost.
 #[test]
 fn malformed_http_is_turned_down() {
--- a/tests/scenario/flight.rs
+++ b/tests/scenario/flight.rs
@@ -60,7 +60,7 @@
                 while let Some(Ok((request, respond))) = connection.accept().await {
                     tokio::task::spawn_local(do_get(number, request, respond, events.clone()));
                 }
-                Some(())
+                events.send(Event::Closed).ok()
             });
         }
     });
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -5,7 +5,9 @@
 //! send NAME KIND MS SHARD...      a client sends a query
 //! send part SHARD good VALUE      a host answers the part that was expected last (or: bad, later; or
 //!                                 nonsense, which is no answer at all; on Flight also refused, a reset)
-//! send roster HOST STATE          discovery tells that a host is now in that state
+//!                                 a value `big` stands for one of 60,000 bytes
+//! send roster HOST STATE          discovery tells that a host is now in that state; `dead` says
+//!                                 that it is active, at an address where nobody listens
 //! send roster fail                discovery answers 503
 //! send raw TEXT                   a client sends these bytes, in Rust's escapes
 //! send term                       the program gets SIGTERM
@@ -13,6 +15,7 @@
 //! expect part SHARD               a host has got the part
 //! expect cancel SHARD             a host was told that nobody waits for the part
 //! expect NAME                     the client's answer
+//! expect closed                   a host's connection was closed by the program
 //! expect probe                    a host has got a probe, and `send probe` answers it
 //! expect runs SHARD               how many times the part was sent so far
 //! expect hosts                    the hosts that have been sent anything so far
@@ -62,6 +65,7 @@
 pub enum Event {
     Part(usize, u32, Box<dyn Fn(Reply) + Send>),
     Cancel(u32),
+    Closed,
     Probe(Box<dyn Fn() + Send>),
     Answer(String, String),
 }
@@ -95,7 +99,7 @@
         "FamilyInfo": {"ClassFloor": [1.0, 1.0, 0.8], "ClassPartial": [0.9, 0.9, 0.9],
             "CompleteFrom": [1.0, 1.0, 1.0], "FollowUp": [0, 0, 0], "OverheadUs": 48000,
             "PartsACall": 16, "Places": HOSTS, "Shards": 10, "Width": HOSTS},
-        "Limits": {"Cancel": true, "ConnIdleUs": 15_000_000, "DialTimeoutUs": 250_000, "MaxAttempts": 3,
+        "Limits": {"Cancel": true, "ConnIdleUs": 1_000_000, "DialTimeoutUs": 250_000, "MaxAttempts": 3,
             "MaxOpen": 20, "MaxRetryAfterUs": 2_000_000, "MaxStreams": 32, "Probing": true,
             "RetryAfter": true, "SecondCopies": true},
         "Safety": {"AskWithinUs": 10_000_000, "ColdFrom": 0.16, "FallUs": 1_000_000, "TipMultiple": 3.0,
@@ -117,7 +121,7 @@
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let file = |what: &str, value: &Value| {
         let name = format!("mallowgauge-{}-{number}-{what}.json", std::process::id());
-        let path = std::env::temp_dir().join(name);
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::write(&path, value.to_string()).expect("a file in the temporary folder");
         path
     };
@@ -244,13 +248,18 @@
         match words[..] {
             ["send", "part", _, end, ..] => {
                 let value = words.get(4).copied().unwrap_or_default();
-                self.replies[&number(2)](Reply::End(end.to_owned(), value.to_owned()));
+                let value = if value == "big" { "x".repeat(60_000) } else { value.to_owned() };
+                self.replies[&number(2)](Reply::End(end.to_owned(), value));
             }
             ["send", "probe"] => self.probe.as_ref().expect("a probe")(),
             ["send", "roster", "fail"] => self.roster.fail(),
             ["send", "roster", _, state] => {
                 let host = number(2) as usize;
-                self.roster.tell(&plain::instance(host, self.hosts[host], state));
+                let nobody = "127.0.0.1:1".parse().expect("an address");
+                self.roster.tell(&match state {
+                    "dead" => plain::instance(host, nobody, "active"),
+                    state => plain::instance(host, self.hosts[host], state),
+                });
             }
             ["send", "raw", ..] => {
                 let text = line.split_once("raw ").expect("bytes").1;
@@ -300,6 +309,10 @@
             ["expect", "runs", _] => {
                 return Some(format!("runs {}: {}", words[2], self.runs.get(&number(2)).unwrap_or(&0)));
             }
+            ["expect", "closed"] => {
+                self.event(line, |e| matches!(e, Event::Closed).then_some(()));
+                return Some("closed".to_owned());
+            }
             ["expect", "probe"] => {
                 let pick = |e: &Event| matches!(e, Event::Probe(_)).then_some(());
                 if let (_, Event::Probe(reply)) = self.event(line, pick) {
--- a/tests/scenario/plain.rs
+++ b/tests/scenario/plain.rs
@@ -26,7 +26,10 @@
     std::thread::spawn(move || {
         for socket in listener.incoming().flatten() {
             let events = events.clone();
-            std::thread::spawn(move || serve(number, socket, &events, probes));
+            std::thread::spawn(move || {
+                serve(number, socket, &events, probes);
+                drop(events.send(Event::Closed));
+            });
         }
     });
     addr
@@ -137,7 +140,10 @@
 /// What a transcript says of an answer's body.
 pub fn body(body: &Value) -> String {
     let mark = if body["total"] == true { "whole" } else { "partial" };
-    let value = |a: &Value| format!(" {}={}", a["range"], a["blob"].as_str().unwrap_or_default());
+    let value = |a: &Value| match a["blob"].as_str().unwrap_or_default() {
+        long if long.len() > 100 => format!(" {}=({} bytes)", a["range"], long.len()),
+        blob => format!(" {}={blob}", a["range"]),
+    };
     let values: Vec<String> = body["answers"].as_array().into_iter().flatten().map(value).collect();
     mark.to_owned() + &values.concat()
 }
