Rest GOAWAY on what h2 says, and cut off a stalled Flight call alone

Mutations checked: counting a cut stream as ended, and dropping the count of late probes, both fail their scenarios. A call whose client stalls is now reset by itself; before, its connection went with every other call on it.

--- a/src/flight/io.rs
+++ b/src/flight/io.rs
@@ -36,57 +36,37 @@
     }
 }
 
-/// What is known of a socket behind `h2`'s back.
-#[derive(Debug, Default)]
-pub struct Seen {
-    /// Bytes have come since the last look.
-    pub heard: AtomicBool,
-    /// `h2` has been told that no more will come.
-    pub over: AtomicBool,
-}
-
 /// A socket as `h2` sees it.
 pub struct Wire {
     stream: Rc<Stream>,
-    seen: Arc<Seen>,
-    /// How reading ended; told one poll later. What the last bytes said, such as which streams a GOAWAY
-    /// leaves alive, has to reach the streams before the end cuts them all.
-    end: Option<io::Result<()>>,
+    heard: Arc<AtomicBool>,
 }
 
 impl Wire {
-    /// Wraps a connected socket.
+    /// Wraps a connected socket; the flag says that bytes have come since it was last lowered.
     #[must_use]
-    pub fn new(stream: Rc<Stream>) -> (Self, Arc<Seen>) {
-        let seen = Arc::new(Seen::default());
-        (Self { stream, seen: Arc::clone(&seen), end: None }, seen)
+    pub fn new(stream: Rc<Stream>) -> (Self, Arc<AtomicBool>) {
+        let heard = Arc::new(AtomicBool::new(false));
+        (Self { stream, heard: Arc::clone(&heard) }, heard)
     }
 }
 
 impl AsyncRead for Wire {
     fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if let Some(end) = self.end.take() {
-            self.seen.over.store(true, Ordering::Relaxed);
-            return Poll::Ready(end);
-        }
         loop {
             match self.stream.read_once(buffer.initialize_unfilled()) {
-                Ok(n) if n > 0 => {
-                    self.seen.heard.store(true, Ordering::Relaxed);
+                Ok(n) => {
+                    self.heard.fetch_or(n > 0, Ordering::Relaxed);
                     buffer.advance(n);
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Poll::Pending,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                end => {
-                    self.end = Some(end.map(drop));
-                    cx.waker().wake_by_ref();
-                    return Poll::Pending;
-                }
+                Err(e) => return Poll::Ready(Err(e)),
             }
         }
     }
--- a/src/front/flight.rs
+++ b/src/front/flight.rs
@@ -177,31 +177,48 @@
         }
     }
 
-    fn deadline(connection: &Connection) -> Micros {
-        let calls = connection.calls.values().filter(|c| !matches!(c.stage, Stage::Asked));
-        let handshake = matches!(connection.state, State::Handshake(_));
-        let rest = if handshake { SLOWEST } else { LONGEST_IDLE };
-        let idle = connection.calls.is_empty().then_some(connection.since + rest);
-        calls.map(|c| c.since + SLOWEST).chain(idle).min().unwrap_or(Micros::MAX)
-    }
-
     /// When the first client has kept it waiting for too long.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
-        self.connections.values().map(Self::deadline).min().filter(|&at| at < Micros::MAX)
+        let calls = self.connections.values().flat_map(|c| c.calls.values());
+        let idle = self.connections.values().filter_map(Connection::idle_until);
+        calls.filter_map(Call::deadline).chain(idle).min()
     }
 
-    /// Cuts off clients that have kept it waiting for too long.
+    /// Cuts off calls and connections whose clients have kept it waiting for too long.
     pub fn expire(&mut self, now: Micros, core: &mut Core) {
-        let late = |c: &Connection| Self::deadline(c) <= now;
-        let ids: Vec<u64> = self.connections.iter().filter(|(_, c)| late(c)).map(|(&id, _)| id).collect();
-        for id in ids {
-            self.close(id, core);
+        let late = |at: Option<Micros>| at.is_some_and(|at| at <= now);
+        let (mut idle, mut moved) = (Vec::new(), Vec::new());
+        for (&id, connection) in &mut self.connections {
+            if late(connection.idle_until()) {
+                idle.push(id);
+            }
+            let before = connection.calls.len();
+            connection.calls.retain(|call, held| {
+                let stays = !late(held.deadline());
+                if !stays {
+                    self.homes.remove(call);
+                }
+                stays
+            });
+            if connection.calls.len() < before {
+                connection.since = now;
+                moved.push(id);
+            }
         }
+        idle.into_iter().for_each(|id| self.close(id, core));
+        // The resets of the calls that were cut off have to go out.
+        moved.into_iter().for_each(|id| self.ready(now, id, core));
     }
 }
 
 impl Connection {
+    /// How long it is kept while there is no call on it.
+    fn idle_until(&self) -> Option<Micros> {
+        let rest = if matches!(self.state, State::Handshake(_)) { SLOWEST } else { LONGEST_IDLE };
+        self.calls.is_empty().then_some(self.since + rest)
+    }
+
     /// Goes on as far as the socket lets it; `false` when the connection is over.
     fn ready(&mut self, desk: &mut Desk<'_>) -> bool {
         loop {
@@ -261,6 +278,11 @@
 }
 
 impl Call {
+    /// When its client has kept it waiting for too long.
+    fn deadline(&self) -> Option<Micros> {
+        (!matches!(self.stage, Stage::Asked)).then_some(self.since + SLOWEST)
+    }
+
     /// Takes a stream; `None` if it is answered at once.
     fn accept(now: Micros, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) -> Option<Self> {
         let (head, body) = request.into_parts();
--- a/src/upstream/flight.rs
+++ b/src/upstream/flight.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 
@@ -19,7 +19,7 @@
 
 use crate::core::{AttemptId, Send};
 use crate::flight::grpc::{self, Code, Deframer, FlightData, Ticket};
-use crate::flight::io::{Flag, Seen, Wire};
+use crate::flight::io::{Flag, Wire};
 use crate::flight::table::{Reader, Row};
 use crate::interface::*;
 use crate::net::Stream;
@@ -61,7 +61,8 @@
     state: State,
     /// A connection that is not up by then is given up.
     until: Micros,
-    seen: Arc<Seen>,
+    /// Bytes have come since the last look.
+    bytes_came: Arc<AtomicBool>,
     flag: Arc<Flag>,
     waker: Waker,
     queue: VecDeque<Vec<Send>>,
@@ -100,7 +101,7 @@
             addr,
             state: State::Dialling,
             until,
-            seen: Arc::default(),
+            bytes_came: Arc::default(),
             flag,
             waker,
             queue: VecDeque::new(),
@@ -164,8 +165,8 @@
                 Some(false) => return false,
                 Some(true) => {}
             }
-            let (wire, seen) = Wire::new(Rc::clone(&self.stream));
-            self.seen = seen;
+            let (wire, bytes_came) = Wire::new(Rc::clone(&self.stream));
+            self.bytes_came = bytes_came;
             let mut builder = client::Builder::new();
             builder.initial_window_size(LONGEST as u32).initial_connection_window_size(2 * LONGEST as u32);
             builder.enable_push(false);
@@ -175,7 +176,7 @@
             self.flag.take();
             let waker = self.waker.clone();
             let alive = self.drive(&mut Context::from_waker(&waker), now, reports);
-            if self.seen.heard.swap(false, Ordering::Relaxed) {
+            if self.bytes_came.swap(false, Ordering::Relaxed) {
                 (self.heard, self.used) = (now, now);
             }
             if !alive || !self.flag.take() {
@@ -222,9 +223,8 @@
             reports.push(Report::Probed(self.server, true));
         }
         self.closing |= matches!(sender.poll_ready(cx), Poll::Ready(Err(_)));
-        let ended = self.seen.over.load(Ordering::Relaxed);
         let server = self.server;
-        self.calls.retain_mut(|call| match call.poll(cx, ended) {
+        self.calls.retain_mut(|call| match call.poll(cx) {
             Poll::Pending => true,
             Poll::Ready(end) => {
                 call.report(server, end, reports);
@@ -303,13 +303,12 @@
         })
     }
 
-    /// `over`: the connection has ended, so that an error no longer tells which streams it spares.
-    fn poll(&mut self, cx: &mut Context<'_>, over: bool) -> Poll<End> {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<End> {
         let fault = Poll::Ready(End::Other(Outcome::Fault));
         if let Some(response) = &mut self.response {
             match Pin::new(response).poll(cx) {
                 Poll::Pending => return Poll::Pending,
-                Poll::Ready(Err(e)) => return Poll::Ready(End::Other(of_error(&e, over))),
+                Poll::Ready(Err(e)) => return Poll::Ready(End::Other(of_error(&e))),
                 Poll::Ready(Ok(response)) => {
                     if response.status() != http::StatusCode::OK {
                         return fault;
@@ -326,7 +325,7 @@
             let Some(body) = &mut self.body else { return fault };
             match body.poll_data(cx) {
                 Poll::Pending => return Poll::Pending,
-                Poll::Ready(Some(Err(e))) => return Poll::Ready(End::Other(of_error(&e, over))),
+                Poll::Ready(Some(Err(e))) => return Poll::Ready(End::Other(of_error(&e))),
                 Poll::Ready(Some(Ok(bytes))) => {
                     // What is released here is what the host may send next.
                     let _ = body.flow_control().release_capacity(bytes.len());
@@ -342,7 +341,7 @@
         let Some(body) = &mut self.body else { return fault };
         match body.poll_trailers(cx) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Err(e)) => Poll::Ready(End::Other(of_error(&e, over))),
+            Poll::Ready(Err(e)) => Poll::Ready(End::Other(of_error(&e))),
             // Without trailers or with half a message the stream was cut short, whatever it held.
             Poll::Ready(Ok(map)) => match map.as_ref().and_then(grpc::status_of) {
                 Some(code) if self.frames.is_empty() => Poll::Ready(of_status(code)),
@@ -385,10 +384,11 @@
 }
 
 /// Only a stream that the host has refused, or one above the last that its GOAWAY names, has never run.
-/// Once the connection has ended, `h2` gives the GOAWAY as the reason for those below it too.
-fn of_error(e: &h2::Error, over: bool) -> Outcome {
+/// `h2` gives the host's GOAWAY as the reason to those above it alone: it ends them while it reads the
+/// frame, and ends the others with the connection's own error.
+fn of_error(e: &h2::Error) -> Outcome {
     let refused = e.is_reset() && e.is_remote() && e.reason() == Some(Reason::REFUSED_STREAM);
-    let above = e.is_go_away() && e.is_remote() && !over;
+    let above = e.is_go_away() && e.is_remote();
     if refused || above {
         Outcome::NoRoom
     } else {
