Look for last requests before asking whether any is left

Seen: reading Gatherer::step showed that the phase could pass from Draining through Finishing to Stopped in one step, after which the last accept and close_idle could still hand the core a query; the program would then exit with it unanswered. The last look now comes first. An idle connection whose answer is still being written is no longer closed to make room.

--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -66,7 +66,8 @@
     /// Whether one more connection fits; an idle one is closed to make room.
     pub fn has_room(&mut self) -> bool {
         if self.connections.len() >= self.most {
-            let idle = |c: &Connection| matches!(c.state, State::Idle) && c.input.is_empty();
+            let idle =
+                |c: &Connection| matches!(c.state, State::Idle) && c.input.is_empty() && c.output.is_empty();
             let oldest = self.connections.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| c.since);
             if let Some(id) = oldest.map(|(&id, _)| id) {
                 self.connections.remove(&id);
--- a/src/gatherer.rs
+++ b/src/gatherer.rs
@@ -140,20 +140,20 @@
             self.effect(now, effect);
         }
         self.collect(now);
-        let before = self.lifecycle.phase();
-        let serving = matches!(before, Phase::Starting | Phase::Serving);
-        let busy = serving || self.core.open() > 0 || self.http.busy() || self.flight.busy();
-        let phase = self.lifecycle.step(now, busy);
-        if before == Phase::Draining && phase != Phase::Draining {
+        if self.lifecycle.quiet(now) {
             self.http_accept();
             self.flight_accept();
             (self.listener, self.flight_listener) = (None, None);
             self.flight.drain(now, &mut self.core);
         }
-        if phase == Phase::Finishing || phase == Phase::Stopped {
+        if self.lifecycle.phase() == Phase::Finishing {
+            // The last look for requests comes before the question whether any is left: one found here
+            // has been taken and must be answered.
             self.http.close_idle(now, &mut self.core);
+            let busy = self.core.open() > 0 || self.http.busy() || self.flight.busy();
+            self.lifecycle.finish(busy);
         }
-        phase
+        self.lifecycle.phase()
     }
 
     /// Hands the core what host connections have reported.
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -71,15 +71,20 @@
         }
     }
 
-    /// Moves on where it is time; `busy` while anything taken has no whole answer yet.
-    pub fn step(&mut self, now: Micros, busy: bool) -> Phase {
-        if self.phase == Phase::Draining && self.due().is_some_and(|due| due <= now) {
+    /// Enters the phase `Finishing` where it is time; `true` if it does so now.
+    pub fn quiet(&mut self, now: Micros) -> bool {
+        let quiet = self.due().is_some_and(|due| due <= now);
+        if quiet {
             self.enter(Phase::Finishing);
         }
+        quiet
+    }
+
+    /// Ends the phase `Finishing` once nothing that was taken lacks a whole answer.
+    pub fn finish(&mut self, busy: bool) {
         if self.phase == Phase::Finishing && !busy {
             self.enter(Phase::Stopped);
         }
-        self.phase
     }
 
     /// When the phase changes by the clock.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -7,6 +7,7 @@
 use mallowgauge::flight::grpc::{Deframer, FlightData};
 use mallowgauge::flight::table::{answer, Reader};
 use mallowgauge::front::http1;
+use mallowgauge::lifecycle::Lifecycle;
 use mallowgauge::upstream::frames;
 use mallowgauge::ShardId;
 use prost::Message;
@@ -253,3 +254,29 @@
     // Enough of each kind stays sound for the parsers to get beyond their first lines.
     assert!(taken.iter().all(|&count| count > 1_000), "{taken:?}");
 }
+
+// Guards the request that is found by the last look for one: the phases never pass from draining to the
+// exit without asking whether anything is left.
+#[test]
+fn the_program_stops_only_once_nothing_is_left() {
+    let mut life = Lifecycle::default();
+    let mut seen = vec![format!("{:?}", life.phase())];
+    let mut see = |life: &Lifecycle| seen.push(format!("{:?}", life.phase()));
+    life.ready();
+    see(&life);
+    life.finish(false);
+    see(&life);
+    life.terminate(1_000_000);
+    see(&life);
+    life.accepted(1_500_000);
+    assert!(!life.quiet(1_700_000), "connections still come");
+    assert!(life.quiet(1_800_000));
+    see(&life);
+    life.finish(true);
+    see(&life);
+    life.finish(false);
+    see(&life);
+    assert_snapshot!(seen.join(", "), @r"
+    Starting, Serving, Serving, Draining, Finishing, Finishing, Stopped
+    ");
+}
