Reload the configuration on SIGHUP and move discovery at once

Checked: exit 129 is 128 + SIGHUP, and the signal source in Gatherer::run took SIGTERM and SIGINT only, so the system's default applied. The logs of both nodes stop in the middle of serving with no line about it; memory (1 of 48 MB) and descriptors (33 of 384) rule out the limits. At fault: src/gatherer.rs, the list of signals in run; src/discovery.rs had no way to another address. Change: SIGHUP reads the file again. Discovery goes to the new address at once, drops the old connection, asks for the whole list first (versions of another service need not go on from the old ones) and then watches. Hosts, connections and open queries are not touched. A file that cannot be used: one WARN line. Test: a_reload_moves_discovery_and_keeps_what_is_open, on both wires; before the change the program ends at the first signal.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -123,6 +123,9 @@
     /// A watch has been answered, so the next one has to follow at once.
     watching: bool,
     fetch: bool,
+    /// No list has come from the present address yet: versions need not go on from those of the one
+    /// before, so the whole list is asked for first.
+    moved: bool,
 }
 
 impl Discovery {
@@ -139,6 +142,7 @@
             generation,
             watching: false,
             fetch: false,
+            moved: false,
         }
     }
 
@@ -160,6 +164,15 @@
         self.begin(now, handle, Call::Fetch)
     }
 
+    /// Asks at another address from now on, at once; what the old one still owes is not waited for.
+    pub fn relocate(&mut self, now: Micros, handle: &Handle, addr: SocketAddr) -> Option<News> {
+        if addr == self.addr {
+            return None;
+        }
+        (self.addr, self.stream, self.moved) = (addr, None, true);
+        self.begin(now, handle, Call::Watch)
+    }
+
     /// When silence means failure.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
@@ -172,6 +185,7 @@
     }
 
     fn begin(&mut self, now: Micros, handle: &Handle, call: Call) -> Option<News> {
+        let call = if self.moved { Call::Fetch } else { call };
         let ask = match call {
             Call::Watch => format!("?index={}&wait={}", self.generation, WATCH_WAIT / 1000),
             Call::Fetch => String::new(),
@@ -240,7 +254,7 @@
                 }
                 self.generation = list.generation;
                 let was = self.call.take();
-                self.watching |= was == Some(Call::Watch);
+                self.watching |= was == Some(Call::Watch) || std::mem::take(&mut self.moved);
                 news.push(News::List(list));
                 let next = if std::mem::take(&mut self.fetch) {
                     Some(Call::Fetch)
--- a/src/gatherer.rs
+++ b/src/gatherer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use calloop::signals::{Signal, Signals};
+use calloop::signals::{Event, Signal, Signals};
 use calloop::EventLoop;
 
 use crate::config::Config;
@@ -42,14 +42,19 @@
     listener: Option<Listener>,
     /// Accepting rests until then.
     resting: Option<Micros>,
+    load: Load,
 }
 
+/// Reads the configuration, at the start and again on SIGHUP.
+type Load = Box<dyn Fn() -> Result<Config, String>>;
+
 impl Gatherer {
     /// Opens the sockets; nothing is taken before [`Gatherer::run`].
     ///
     /// # Errors
     /// One line that says what is wrong.
-    fn start(config: Config, handle: Handle) -> Result<Self, String> {
+    fn start(load: Load, handle: Handle) -> Result<Self, String> {
+        let config = load()?;
         let clock = Clock::start();
         let zones = config.site.zones.clone();
         let core = Core::new(config.seed, config.site, config.bounds).map_err(|e| e.to_string())?;
@@ -75,6 +80,7 @@
             listener: Some(listener),
             resting: None,
             handle,
+            load,
         };
         tracing::info!("{} listens on {}", config.name, gatherer.address(&gatherer.listener)?);
         if gatherer.flight_listener.is_some() {
@@ -89,16 +95,20 @@
         addr.map(|addr| addr.to_string()).map_err(|e| e.to_string())
     }
 
-    /// Runs a gatherer until it is told to end.
+    /// Runs a gatherer until it is told to end; `load` reads its configuration.
     ///
     /// # Errors
     /// One line that says what is wrong.
-    pub fn run(config: Config) -> Result<(), String> {
+    pub fn run(load: impl Fn() -> Result<Config, String> + 'static) -> Result<(), String> {
         let mut events = EventLoop::<Gatherer>::try_new().map_err(|e| e.to_string())?;
-        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| e.to_string())?;
-        let told = |_, _: &mut (), gatherer: &mut Gatherer| gatherer.terminate();
+        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
+        let signals = signals.map_err(|e| e.to_string())?;
+        let told = |signal: Event, _: &mut (), gatherer: &mut Gatherer| match signal.signal() {
+            Signal::SIGHUP => gatherer.reload(),
+            _ => gatherer.terminate(),
+        };
         events.handle().insert_source(signals, told).map_err(|e| e.to_string())?;
-        let mut gatherer = Self::start(config, events.handle())?;
+        let mut gatherer = Self::start(Box::new(load), events.handle())?;
         gatherer.lifecycle.ready();
         while gatherer.step() != Phase::Stopped {
             let wait = gatherer.due().map(|at| at.saturating_sub(gatherer.clock.now()));
@@ -214,6 +224,19 @@
         });
     }
 
+    /// Reads the configuration again and moves discovery; all else in it counts from the next start. What
+    /// is open and what is known of hosts stays.
+    fn reload(&mut self) {
+        match (self.load)() {
+            Ok(config) => {
+                tracing::info!("configuration read again, discovery at {}", config.discovery);
+                let news = self.discovery.relocate(self.clock.now(), &self.handle, config.discovery);
+                news.into_iter().for_each(|news| self.news(news));
+            }
+            Err(e) => tracing::warn!("configuration kept as it was: {e}"),
+        }
+    }
+
     fn terminate(&mut self) {
         let now = self.clock.now();
         self.lifecycle.terminate(now);
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,7 @@
     if arguments.next().is_some() {
         return Err("usage: mallowgauge [OPERATOR-FILE]".to_owned());
     }
-    Gatherer::run(Config::load(|name| std::env::var(name).ok(), operator.as_deref())?)
+    Gatherer::run(move || Config::load(|name| std::env::var(name).ok(), operator.as_deref()))
 }
 
 fn main() -> ExitCode {
--- a/tests/gatherer.rs
+++ b/tests/gatherer.rs
@@ -460,3 +460,36 @@
     runs 1: 1
     ");
 }
+
+// Guards a reload: a file that makes no sense changes nothing, a good one moves discovery at once and as
+// often as it comes, and neither costs what is open. What the new discovery tells is heeded.
+#[test]
+fn a_reload_moves_discovery_and_keeps_what_is_open() {
+    assert_snapshot!(both("
+        send a place-hold 3000 0
+        expect part 0
+        send reload bad
+        expect log configuration kept as it was
+        send roster 0 leaving
+        send reload
+        send roster 1 leaving
+        send reload
+        send roster 1 left
+        send b search 3000 1 2 3
+        expect part 1
+        expect part 3
+        send part 0 good x
+        expect a
+        expect hosts
+        send term
+        expect exit
+    "), @r"
+    part 0
+    log configuration kept as it was
+    part 1
+    part 3
+    a: whole 0=x
+    hosts {0, 2}
+    exit Some(0)
+    ");
+}
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -174,7 +174,7 @@
         if let Some(place) = config.pointer_mut(path) {
             *place = value;
         }
-        let output = spawn(&config, &operator, 1024).wait_with_output().expect("an end");
+        let output = spawn(&config, &operator, 1024).0.wait_with_output().expect("an end");
         let log = String::from_utf8(output.stdout).expect("text");
         let lines: Vec<&str> = log.lines().collect();
         assert_eq!(lines.len(), 1, "{log}");
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -11,6 +11,8 @@
 //! send roster fail                discovery answers 503
 //! send raw TEXT                   a client sends these bytes, in Rust's escapes
 //! send term                       the program gets SIGTERM
+//! send reload                     the program gets SIGHUP, with a file that names a new discovery;
+//!                                 `send reload bad`: with one that makes no sense
 //! send crowd N                    so many clients connect and say nothing
 //! expect part SHARD               a host has got the part
 //! expect cancel SHARD             a host was told that nobody waits for the part
@@ -35,6 +37,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
@@ -84,6 +87,7 @@
     pub http: SocketAddr,
     pub flight: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
+    config: PathBuf,
 }
 
 pub fn settings() -> Value {
@@ -115,8 +119,9 @@
            "known": {"generation": 1, "reset": true, "instances": known}, "settings": settings()})
 }
 
-/// The program, started with these files and so many descriptors; `stdout` is its log.
-pub fn spawn(config: &Value, operator: &Value, descriptors: u32) -> Child {
+/// The program, started with these files and so many descriptors, and where its own file stands;
+/// `stdout` is its log.
+pub fn spawn(config: &Value, operator: &Value, descriptors: u32) -> (Child, PathBuf) {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let file = |what: &str, value: &Value| {
@@ -125,19 +130,21 @@
         std::fs::write(&path, value.to_string()).expect("a file in the temporary folder");
         path
     };
-    Command::new("sh")
+    let config = file("config", config);
+    let child = Command::new("sh")
         .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\" \"$1\"")])
         .arg(env!("CARGO_BIN_EXE_mallowgauge"))
         .arg(file("operator", operator))
-        .env("RELAY_CONFIG", file("config", config))
+        .env("RELAY_CONFIG", &config)
         .stdout(Stdio::piped())
         .spawn()
-        .expect("the program starts")
+        .expect("the program starts");
+    (child, config)
 }
 
 impl Program {
     pub fn start(config: &Value, operator: &Value, descriptors: u32) -> Self {
-        let mut child = spawn(config, operator, descriptors);
+        let (mut child, config) = spawn(config, operator, descriptors);
         let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
         let mut listens = |what: &str| loop {
             let line = lines.next().expect("the program goes on").expect("text");
@@ -153,7 +160,7 @@
                 kept.lock().expect("a sound lock").push(line);
             }
         });
-        Self { child, http, flight, log }
+        Self { child, http, flight, log, config }
     }
 
     pub fn signal(&self, signal: libc::c_int) {
@@ -272,6 +279,18 @@
                 let connect = |_| TcpStream::connect(self.program.http).expect("a connection");
                 self.crowd = (0..number(2)).map(connect).collect();
             }
+            ["send", "reload", ..] => {
+                let fresh = plain::Roster::start();
+                let file = match words.get(2) {
+                    None => config(&self.hosts, fresh.addr).to_string(),
+                    Some(_) => "{".to_owned(),
+                };
+                std::fs::write(&self.program.config, file).expect("a file in the temporary folder");
+                if words.len() == 2 {
+                    self.roster = fresh;
+                }
+                self.program.signal(libc::SIGHUP);
+            }
             ["send", "term"] => self.program.signal(libc::SIGTERM),
             ["send", name, kind, ms, ..] => {
                 let shards = &words[4..];
