End an attempt at once when its answer is spoilt, and keep good answers good

An answer with an unreadable load report counted as no text at all, so a good one was thrown away. Bytes behind a good answer stayed in the buffer and would have swallowed the answer to the next part. At fault: upstream/frames::read and end (letter, end and UTF-8 only, over the whole line), and FrameLink::take (unknown id: continue; leftovers kept). Change: a line is checked word by word as soon as it is in, the report is read by nobody; an id that was not sent there, or a frame not whole within 0.5 s, spoils the connection, and what is out on it ends as an error that may have run. Second copies and late answers are known by name and passed over. Bytes with nothing due close the connection quietly. Nothing new goes where a frame has come in part. Flight: a message that stays half for 0.5 s ends its stream likewise.

--- a/src/upstream/flight.rs
+++ b/src/upstream/flight.rs
@@ -23,7 +23,7 @@
 use crate::flight::table::{Reader, Row};
 use crate::interface::*;
 use crate::net::Stream;
-use crate::upstream::Report;
+use crate::upstream::{Report, SLOWEST_FRAME};
 
 /// Longest answer to a part that is taken from a host.
 const LONGEST: usize = 256 * 1024;
@@ -49,6 +49,8 @@
     body: Option<RecvStream>,
     frames: Deframer,
     taken: usize,
+    /// Since when a message has come in part.
+    partial: Option<Micros>,
     reader: Reader,
     rows: Vec<Row>,
 }
@@ -225,7 +227,10 @@
         self.closing |= matches!(sender.poll_ready(cx), Poll::Ready(Err(_)));
         let server = self.server;
         self.calls.retain_mut(|call| match call.poll(cx) {
-            Poll::Pending => true,
+            Poll::Pending => {
+                call.partial = (!call.frames.is_empty()).then(|| call.partial.unwrap_or(now));
+                true
+            }
             Poll::Ready(end) => {
                 call.report(server, end, reports);
                 false
@@ -241,7 +246,8 @@
             return Some(self.until);
         }
         let rest = self.calls.is_empty().then_some(self.used + idle);
-        self.probe.map(|(until, _)| until).into_iter().chain(rest).min()
+        let partial = self.calls.iter().filter_map(|call| call.partial).min().map(|at| at + SLOWEST_FRAME);
+        self.probe.map(|(until, _)| until).into_iter().chain(rest).chain(partial).min()
     }
 
     /// Looks at the clock; `false` when the connection is over.
@@ -255,7 +261,19 @@
             self.closing = true;
             reports.push(Report::Probed(self.server, false));
         }
-        !self.calls.is_empty() || self.used + idle > now
+        let server = self.server;
+        let before = self.calls.len();
+        self.calls.retain_mut(|call| {
+            let stays = call.partial.is_none_or(|at| at + SLOWEST_FRAME > now);
+            if !stays {
+                tracing::warn!("host {}: a message that does not become whole", server.0);
+                call.request.send_reset(Reason::CANCEL);
+                call.report(server, End::Other(Outcome::Fault), reports);
+            }
+            stays
+        });
+        let alive = before == self.calls.len() || self.ready(now, reports);
+        alive && (!self.calls.is_empty() || self.used + idle > now)
     }
 
     /// The connection is over: calls that were not begun have never run, the rest may have.
@@ -298,6 +316,7 @@
             body: None,
             frames: Deframer::new(LONGEST),
             taken: 0,
+            partial: None,
             reader: Reader::default(),
             rows: Vec::new(),
         })
--- a/src/upstream/frames.rs
+++ b/src/upstream/frames.rs
@@ -8,6 +8,9 @@
 /// Longest frame taken from a host: a value has to fit into a body of 64 KiB.
 pub const LONGEST: usize = 65 * 1024;
 
+/// Longest first line of an answer.
+const LONGEST_LINE: usize = 1024;
+
 fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
     let length = u32::try_from(rest.len() + 1).unwrap_or(u32::MAX);
     let mut out = length.to_be_bytes().to_vec();
@@ -60,36 +63,56 @@
     Useless(String),
 }
 
-/// The first whole frame in `input`, with the bytes that it takes up; `None` while there is none.
+/// The first whole frame in `input`, with the bytes that it takes up; `None` while there is none. What is
+/// already wrong with a frame is said before the rest of it has come.
 ///
 /// # Errors
 /// What has come is no such frame.
 pub fn read(input: &[u8]) -> Result<Option<(Said, usize)>, &'static str> {
-    let Some(head) = input.first_chunk::<4>() else { return Ok(None) };
+    let Some((head, body)) = input.split_first_chunk::<4>() else { return Ok(None) };
     let length = u32::from_be_bytes(*head) as usize;
     if length == 0 || length > LONGEST {
         return Err("a frame of no use or too long");
     }
-    let Some(body) = input.get(4..4 + length) else { return Ok(None) };
-    let text = || std::str::from_utf8(&body[1..]).map_err(|_| "a frame that is not text");
-    let said = match body[0] {
-        b'q' => end(text()?)?,
-        b'o' => Said::Probe(text()? == "good"),
-        b'r' => Said::Useless(text()?.to_owned()),
+    let come = &body[..body.len().min(length)];
+    let Some((letter, rest)) = come.split_first() else { return Ok(None) };
+    let whole = come.len() == length;
+    let said = match letter {
+        b'q' => end(rest, whole)?,
+        b'o' if !whole && rest.len() < 4 => None,
+        b'o' => Some(Said::Probe(match rest {
+            b"good" => true,
+            b"bad" => false,
+            _ => return Err("an answer to a probe with an unknown end"),
+        })),
+        b'r' => whole.then(|| Said::Useless(String::from_utf8_lossy(rest).into_owned())),
         _ => return Err("a frame of an unknown letter"),
     };
-    Ok(Some((said, 4 + length)))
+    Ok(said.map(|said| (said, 4 + length)))
 }
 
-fn end(text: &str) -> Result<Said, &'static str> {
-    let (line, value) = text.split_once('\n').ok_or("an answer without a line")?;
-    let mut words = line.split(' ');
-    let (part, end) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
-    let outcome = match end {
-        "good" => Outcome::Served,
-        "bad" => Outcome::Fault,
-        "later" => Outcome::NoRoom,
+fn end(rest: &[u8], whole: bool) -> Result<Option<Said>, &'static str> {
+    let Some(at) = rest.iter().take(LONGEST_LINE).position(|&b| b == b'\n') else {
+        let endless = whole || rest.len() >= LONGEST_LINE;
+        return if endless { Err("an answer whose line does not end") } else { Ok(None) };
+    };
+    let unreadable = "an answer with an unreadable line";
+    let mut words = rest[..at].splitn(4, |&b| b == b' ').map(std::str::from_utf8);
+    let part = words.next().and_then(Result::ok).ok_or(unreadable)?;
+    let outcome = match words.next() {
+        Some(Ok("good")) => Outcome::Served,
+        Some(Ok("bad")) => Outcome::Fault,
+        Some(Ok("later")) => Outcome::NoRoom,
         _ => return Err("an answer with an unknown end"),
     };
-    Ok(Said::End(part.to_owned(), outcome, value.to_owned()))
+    let score = words.next().and_then(Result::ok).is_some_and(|word| word.parse::<f64>().is_ok());
+    // The report is for nobody here, so one that cannot be read takes nothing from the answer.
+    if words.next().is_none() || (outcome == Outcome::Served && !score) {
+        return Err(unreadable);
+    }
+    if !whole {
+        return Ok(None);
+    }
+    let value = std::str::from_utf8(&rest[at + 1..]).map_err(|_| "a value that is not text")?;
+    Ok(Some(Said::End(part.to_owned(), outcome, value.to_owned())))
 }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -9,7 +9,10 @@
 use std::rc::Rc;
 
 use crate::core::AttemptId;
-use crate::interface::{Outcome, ServerId};
+use crate::interface::{Micros, Outcome, ServerId};
+
+/// A frame or message that has begun to come has to be whole within this time.
+const SLOWEST_FRAME: Micros = 500_000;
 
 /// What a host connection reports.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -11,7 +11,7 @@
 use crate::net::{Handle, ReadEnd, Stream};
 use crate::upstream::flight::FlightLink;
 use crate::upstream::frames::{self, Said};
-use crate::upstream::Report;
+use crate::upstream::{Report, SLOWEST_FRAME};
 
 /// A connection is closed after this share of the time after which hosts close it.
 const IDLE_SHARE: f64 = 0.8;
@@ -258,7 +258,13 @@
     out: BTreeMap<String, Out>,
     probes: VecDeque<Micros>,
     late_probes: u32,
+    /// The parts whose answers came last: a second copy of one is passed over.
+    done: VecDeque<String>,
     input: Vec<u8>,
+    /// Since when a frame has come in part.
+    partial: Option<Micros>,
+    /// Something came that is no answer: nothing on this connection can be trusted any more.
+    spoilt: bool,
     heard: Micros,
     /// The last time that something went either way.
     used: Micros,
@@ -275,7 +281,10 @@
             out: BTreeMap::new(),
             probes: VecDeque::new(),
             late_probes: 0,
+            done: VecDeque::new(),
             input: Vec::new(),
+            partial: None,
+            spoilt: false,
             heard: now,
             used: now,
         }
@@ -291,12 +300,15 @@
         self.unwritten().count() + self.out.values().filter(|o| !o.given_up || o.until > now).count()
     }
 
-    /// Whether new parts may go out on this connection: it is not silent, and no part of the same name
-    /// was given up on it, whose late answer would be taken for the new one's.
+    /// Whether new parts may go out on this connection: it is neither silent nor in the middle of a
+    /// frame, and no part of the same name went out on it, whose late answer, or a second copy of it,
+    /// would be taken for the new one's.
     fn usable(&self, now: Micros, sends: &[Send]) -> bool {
         let oldest = self.out.values().map(|o| o.sent.max(self.heard)).min();
+        let known = |name: &String| self.out.contains_key(name) || self.done.contains(name);
         oldest.is_none_or(|at| now < at + SILENT)
-            && !sends.iter().any(|send| self.out.contains_key(&frames::part_name(send)))
+            && self.partial.is_none()
+            && !sends.iter().any(|send| known(&frames::part_name(send)))
             && !self
                 .unwritten()
                 .any(|held| sends.iter().any(|s| s.query == held.query && s.shard == held.shard))
@@ -370,8 +382,8 @@
         if !self.write(now) {
             // What came before the break still counts; a part written whole may have run.
             self.stream.read(&mut self.input, frames::LONGEST + 4);
-            let _ = self.take(now, reports);
-            return false;
+            let taken = self.take(now, reports);
+            return taken.is_ok_and(|()| false);
         }
         if self.dialling.is_some() {
             return true;
@@ -383,8 +395,7 @@
                 (self.heard, self.used) = (now, now);
             }
             if let Err(why) = self.take(now, reports) {
-                tracing::warn!("host {}: {why}", self.server.0);
-                return false;
+                return self.spoil(why);
             }
             match end {
                 ReadEnd::Blocked => return true,
@@ -394,14 +405,36 @@
         }
     }
 
+    /// What came is no answer, and what comes after it cannot be told; always `false`. With nothing out
+    /// here it stood behind a good answer, takes nothing from that and is no fault of the host's.
+    fn spoil(&mut self, why: &str) -> bool {
+        self.spoilt = true;
+        if self.out.values().any(|out| !out.given_up) {
+            tracing::warn!("host {}: {why}", self.server.0);
+        }
+        false
+    }
+
+    fn is_done(&mut self, name: String) {
+        self.done.push_back(name);
+        self.done.drain(..self.done.len().saturating_sub(DONE));
+    }
+
     /// Takes the whole frames that have come.
     fn take(&mut self, now: Micros, reports: &mut Vec<Report>) -> Result<(), &'static str> {
         while let Some((said, used)) = frames::read(&self.input)? {
             self.input.drain(..used);
+            self.partial = None;
             match said {
                 Said::End(name, outcome, value) => {
-                    // An answer to no part that is out is that of one given up long ago.
-                    let Some(out) = self.out.remove(&name) else { continue };
+                    let Some(out) = self.out.remove(&name) else {
+                        // A second copy, or the answer of a part given up long ago.
+                        if self.done.contains(&name) {
+                            continue;
+                        }
+                        return Err("an answer to no part that was sent here");
+                    };
+                    self.is_done(name);
                     if !out.given_up {
                         let value = (outcome == Outcome::Served).then(|| value.into());
                         reports.push(Report::Ended(out.attempt, outcome, value));
@@ -420,7 +453,19 @@
                 }
             }
         }
-        self.out.retain(|_, out| !out.given_up || now < out.until + GIVEN_UP_FOR);
+        let old = |out: &Out| out.given_up && now >= out.until + GIVEN_UP_FOR;
+        let old: Vec<String> =
+            self.out.iter().filter(|(_, out)| old(out)).map(|(name, _)| name.clone()).collect();
+        for name in old {
+            self.out.remove(&name);
+            self.is_done(name);
+        }
+        // Bytes that no answer is due for would swallow the next one.
+        let due = !self.out.is_empty() || !self.probes.is_empty() || self.late_probes > 0;
+        if !self.input.is_empty() && !due {
+            return Err("more than belongs to an answer");
+        }
+        self.partial = (!self.input.is_empty()).then(|| self.partial.unwrap_or(now));
         Ok(())
     }
 
@@ -430,7 +475,8 @@
         }
         let waiting = self.out.values().any(|out| !out.given_up);
         let rest = (!waiting && self.queue.is_empty()).then_some(self.used + idle);
-        self.probes.front().copied().into_iter().chain(rest).min()
+        let partial = self.partial.map(|since| since + SLOWEST_FRAME);
+        self.probes.front().copied().into_iter().chain(rest).chain(partial).min()
     }
 
     fn expire(&mut self, now: Micros, idle: Micros, reports: &mut Vec<Report>) -> bool {
@@ -438,6 +484,9 @@
             tracing::info!("host {}: no connection in time", self.server.0);
             return false;
         }
+        if self.partial.is_some_and(|since| since + SLOWEST_FRAME <= now) {
+            return self.spoil("a frame that does not become whole");
+        }
         if self.probes.front().is_some_and(|&until| until <= now) {
             // A connection with nothing else on it may be dead, and goes with its probe.
             if self.out.values().all(|out| out.given_up) {
@@ -451,15 +500,19 @@
         waiting || self.used + idle > now
     }
 
-    /// The connection is over: what was not written whole has never run, the rest may have.
+    /// The connection is over: what was not written whole has never run, the rest may have. A spoilt
+    /// answer is no sign of a host that has gone down.
     fn end(&mut self, reports: &mut Vec<Report>) {
+        let outcome = if self.spoilt { Outcome::Fault } else { Outcome::Cut };
         let never: Vec<AttemptId> = self.unwritten().map(|send| send.attempt).collect();
         reports.extend(never.into_iter().map(|id| Report::Ended(id, Outcome::NoRoute, None)));
         let cut = std::mem::take(&mut self.out).into_values().filter(|out| !out.given_up);
-        reports.extend(cut.map(|out| Report::Ended(out.attempt, Outcome::Cut, None)));
+        reports.extend(cut.map(|out| Report::Ended(out.attempt, outcome, None)));
         reports.extend(self.probes.drain(..).map(|_| Report::Probed(self.server, false)));
     }
 }
 
 /// How long after its time a part given up is still remembered, for its late answer.
 const GIVEN_UP_FOR: Micros = 1_000_000;
+/// How many of the last answered parts a connection remembers.
+const DONE: usize = 64;
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -280,3 +280,41 @@
     Starting, Serving, Serving, Draining, Finishing, Finishing, Stopped
     ");
 }
+
+// Guards the wire against what is no answer: it is said as soon as it shows, before the rest has come. A
+// report that cannot be read takes nothing from a good answer.
+#[test]
+fn spoilt_frames_are_told_from_good_ones() {
+    let answer = |length: u32, rest: &[u8]| [&length.to_be_bytes()[..], b"q", rest].concat();
+    let whole = |rest: &[u8]| answer(rest.len() as u32 + 1, rest);
+    let samples = [
+        whole(b"1.3 good 7 util=0.61\nvalue"),
+        whole(b"1.3 good 7 \xff = \nvalue"),
+        whole(b"1.3 good 7 -\nv\xfflue"),
+        whole(b"1.3 good -\nvalue"),
+        whole(b"1.3 good much -\nvalue"),
+        whole(b"1.3 fine 7 -\nvalue"),
+        answer(900, b"1.3 fine 7 -\nva"),
+        answer(900, b"1.3 good 7 -\nva"),
+        answer(9_000, &[b'x'; 2_000]),
+        answer(3_000_000_000, b"1.3 good 7 -\nva"),
+        b"\0\0\0\x06ogood!".to_vec(),
+    ];
+    let read = |bytes: &Vec<u8>| match frames::read(bytes) {
+        Ok(found) => format!("{:?}", found.map(|(said, _)| said)),
+        Err(why) => why.to_owned(),
+    };
+    assert_snapshot!(samples.iter().map(read).collect::<Vec<_>>().join("\n"), @r#"
+    Some(End("1.3", Served, "value"))
+    Some(End("1.3", Served, "value"))
+    a value that is not text
+    an answer with an unreadable line
+    an answer with an unreadable line
+    an answer with an unknown end
+    an answer with an unknown end
+    None
+    an answer whose line does not end
+    a frame of no use or too long
+    an answer to a probe with an unknown end
+    "#);
+}
--- a/tests/gatherer.rs
+++ b/tests/gatherer.rs
@@ -493,3 +493,61 @@
     exit Some(0)
     ");
 }
+
+// Guards against waiting out the time of a part whose answer came spoilt: it may have run, so a search is
+// asked again at once and a hold fails at once.
+#[test]
+fn a_spoilt_answer_ends_the_attempt_at_once() {
+    assert_snapshot!(both("
+        send a search 60000 0
+        expect part 0
+        send part 0 stray x
+        expect part 0
+        send part 0 half y
+        expect part 0
+        send part 0 good z
+        expect a
+        send b place-hold 60000 1
+        expect part 1
+        send part 1 half x
+        expect b
+        expect runs 1
+    "), @r"
+    part 0
+    part 0
+    part 0
+    a: whole 0=z
+    part 1
+    b: failed
+    runs 1: 1
+    ");
+}
+
+// Guards a good answer against what comes with it: it stays good, its host is not doubted, and what
+// stands behind it is not taken for the answer to the next part.
+#[test]
+fn a_good_answer_stays_good_whatever_comes_behind_it() {
+    assert_snapshot!(play(Wire::Http, "
+        send a place-hold 3000 0
+        expect part 0
+        send part 0 noisy x
+        expect a
+        expect closed
+        send b place-hold 3000 0
+        expect part 0
+        send part 0 twice y
+        expect b
+        send c place-hold 3000 0
+        expect part 0
+        send part 0 good z
+        expect c
+    "), @r"
+    part 0
+    a: whole 0=x
+    closed
+    part 0
+    b: whole 0=y
+    part 0
+    c: whole 0=z
+    ");
+}
--- a/tests/scenario/flight.rs
+++ b/tests/scenario/flight.rs
@@ -124,6 +124,13 @@
             let message = FlightData { data_header, ..FlightData::default() };
             return stream.send_data(frame(&message).into(), true).expect("room");
         }
+        Reply::End(end, _) if end == "half" => {
+            let half = table(&[(shard, "good".to_owned(), "half".to_owned())]);
+            stream.send_data(half[..half.len() - 1].to_vec().into(), false).expect("room");
+            drop(std::future::poll_fn(|cx| stream.poll_reset(cx)).await);
+            return;
+        }
+        Reply::End(end, value) if end == "stray" => [(shard + 1, "good".to_owned(), value)],
         Reply::End(end, value) => [(shard, end, value)],
         Reply::Cut => {
             // An answer that looks good, and then the stream breaks off.
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -4,7 +4,10 @@
 //! ```text
 //! send NAME KIND MS SHARD...      a client sends a query
 //! send part SHARD good VALUE      a host answers the part that was expected last (or: bad, later; or
-//!                                 nonsense, which is no answer at all; on Flight also refused, a reset)
+//!                                 nonsense, which is no answer at all; stray, an answer to another part;
+//!                                 half, which never becomes whole; on Flight also refused, a reset; in
+//!                                 frames also good ones: twice, with a second copy; noisy, with an
+//!                                 unreadable report and noise behind)
 //!                                 a value `big` stands for one of 60,000 bytes
 //! send roster HOST STATE          discovery tells that a host is now in that state; `dead` says
 //!                                 that it is active, at an address where nobody listens
--- a/tests/scenario/plain.rs
+++ b/tests/scenario/plain.rs
@@ -72,7 +72,19 @@
         let reply = move |reply: Reply| match reply {
             Reply::End(end, _) if end == "nonsense" => (&socket).write_all(&frame(b'z', "")).expect("room"),
             Reply::End(end, value) => {
-                let answer = frame(b'q', &format!("{id} {end} 0 util=0.5\n{value}"));
+                let good = frame(b'q', &format!("{id} good 0 util=0.5\n{value}"));
+                let answer = match &*end {
+                    "stray" => frame(b'q', &format!("x{id} good 0 util=0.5\n{value}")),
+                    "half" => good[..good.len() - 1].to_vec(),
+                    "twice" => [good.clone(), good].concat(),
+                    "noisy" => {
+                        let report = [&b"=\xff= "[..], b"\n", value.as_bytes()].concat();
+                        let line = format!("q{id} good 0 ").into_bytes();
+                        let length = u32::try_from(line.len() + report.len()).expect("a short frame");
+                        [&length.to_be_bytes()[..], &line, &report, b"\0\0\x01\0q"].concat()
+                    }
+                    end => frame(b'q', &format!("{id} {end} 0 util=0.5\n{value}")),
+                };
                 (&socket).write_all(&answer).expect("a connection");
             }
             Reply::Cut => socket.shutdown(Shutdown::Both).expect("a connection"),
