Cut off slow clients after 2 s, let crowds push out their own, take bounds from the limits

Seen by reading, then confirmed by scenarios on the old code: half a request was told off after 20 s, where a bad client is owed an error or a close within 3 s; a crowd that says nothing pushed out the connections of clients that come back, since the oldest idle one went first; Req-Deadline-Ms "+900" was served; answers to requests sent ahead piled up for a client that reads none; the bounds were sized for 192 MB and 1,024. At fault: SLOWEST and has_room in src/front/http.rs, the constants in src/gatherer.rs, the backlog of 128. Flight's front: the same times, and the connection without a call for longest makes room. Tests: half_a_request_is_told_soon, a_crowd_pushes_out_its_own, malformed_http_is_turned_down; all three fail on the old code.

--- a/src/config.rs
+++ b/src/config.rs
@@ -51,6 +51,8 @@
     pub bounds: Bounds,
     /// Figures for connections.
     pub links: Links,
+    /// The memory that the process may use, in bytes.
+    pub memory: usize,
     /// The list of hosts as this gatherer last had it.
     pub known: Value,
     /// The second front.
@@ -59,6 +61,8 @@
 
 /// Descriptors held where the platform states no limit.
 const SOCKETS: u64 = 1024;
+/// Megabytes used where the platform states no limit.
+const MEMORY: u64 = 192;
 /// Too few for a listener, discovery, a host and a client with room to move.
 const FEWEST_SOCKETS: usize = 32;
 
@@ -97,10 +101,13 @@
             value.ok_or_else(|| format!("settings.{part}.{key} is zero or far too large"))
         };
         let shards = u32::try_from(small("FamilyInfo", "Shards")?).map_err(|e| e.to_string())?;
-        let sockets = all
-            .pointer("/limits/sockets")
-            .map_or(Ok(SOCKETS), |v| v.as_u64().ok_or("limits.sockets is not a whole number"))?
-            as usize;
+        let limit = |key: &str, usual: u64| {
+            let value =
+                all.get("limits").and_then(|limits| limits.get(key)).map_or(Some(usual), Value::as_u64);
+            let value = value.and_then(|n| u32::try_from(n).ok());
+            value.map(|n| n as usize).ok_or_else(|| format!("limits.{key} is not a small whole number"))
+        };
+        let (sockets, memory) = (limit("sockets", SOCKETS)?, limit("memory_mb", MEMORY)? * 1024 * 1024);
         if sockets < FEWEST_SOCKETS {
             return Err(format!("limits.sockets is below {FEWEST_SOCKETS}"));
         }
@@ -120,6 +127,7 @@
                 parts_a_call: site.settings.layout.parts_per_call as usize,
                 sockets,
             },
+            memory,
             known: known.clone(),
             site,
             flight,
--- a/src/front/flight.rs
+++ b/src/front/flight.rs
@@ -32,9 +32,10 @@
 const MOST_STREAMS: u32 = 16;
 /// Longest list of header lines.
 const LONGEST_HEAD: u32 = 16 * 1024;
-/// A client that keeps the front waiting for longer than this is cut off: for a request to become
-/// whole, for an answer to be taken, for a connection to be used.
-const SLOWEST: Micros = 20_000_000;
+/// A client that keeps the front waiting for longer than this is cut off: for a handshake or a request
+/// to become whole, for more of an answer to be taken, for a connection to be used.
+const SLOWEST_REQUEST: Micros = 2_000_000;
+const SLOWEST_ANSWER: Micros = 10_000_000;
 const LONGEST_IDLE: Micros = 120_000_000;
 
 type Handshake = Pin<Box<dyn Future<Output = Result<server::Connection<Wire, Bytes>, h2::Error>>>>;
@@ -106,9 +107,14 @@
         Self { connections, homes, next: 1, most, rng: fastrand::Rng::with_seed(seed) }
     }
 
-    /// Whether one more connection fits.
-    #[must_use]
-    pub fn has_room(&self) -> bool {
+    /// Whether one more connection fits; the one that has had no call for longest goes to make room.
+    pub fn has_room(&mut self) -> bool {
+        if self.connections.len() >= self.most {
+            let idle = self.connections.iter().filter(|(_, c)| c.calls.is_empty());
+            if let Some(id) = idle.min_by_key(|(_, c)| c.since).map(|(&id, _)| id) {
+                self.connections.remove(&id);
+            }
+        }
         self.connections.len() < self.most
     }
 
@@ -215,7 +221,7 @@
 impl Connection {
     /// How long it is kept while there is no call on it.
     fn idle_until(&self) -> Option<Micros> {
-        let rest = if matches!(self.state, State::Handshake(_)) { SLOWEST } else { LONGEST_IDLE };
+        let rest = if matches!(self.state, State::Handshake(_)) { SLOWEST_REQUEST } else { LONGEST_IDLE };
         self.calls.is_empty().then_some(self.since + rest)
     }
 
@@ -280,7 +286,11 @@
 impl Call {
     /// When its client has kept it waiting for too long.
     fn deadline(&self) -> Option<Micros> {
-        (!matches!(self.stage, Stage::Asked)).then_some(self.since + SLOWEST)
+        match self.stage {
+            Stage::Reading(..) => Some(self.since + SLOWEST_REQUEST),
+            Stage::Asked => None,
+            Stage::Writing(..) | Stage::Done => Some(self.since + SLOWEST_ANSWER),
+        }
     }
 
     /// Takes a stream; `None` if it is answered at once.
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -11,12 +11,26 @@
 use crate::interface::Micros;
 use crate::net::{Handle, ReadEnd, Stream};
 
-/// Read ahead from a client while its request is in work.
-const LONGEST_INPUT: usize = http1::LONGEST_HEAD + http1::LONGEST_BODY;
-/// Time for a request that has begun to become whole, and for an answer to be taken.
-const SLOWEST: Micros = 20_000_000;
-/// A connection without a request is kept for so long.
-const LONGEST_IDLE: Micros = 120_000_000;
+/// Read from a client at a time: a whole head fits, and of a body what has come is taken off at once.
+const LONGEST_INPUT: usize = http1::LONGEST_HEAD;
+/// Time for a request to become whole, from when its connection was opened or its first bytes came.
+const SLOWEST_REQUEST: Micros = 2_000_000;
+/// Time for a client to take something more of its answer.
+const SLOWEST_ANSWER: Micros = 10_000_000;
+/// A connection that has had an answer is kept for so long without another request.
+const LONGEST_IDLE: Micros = 10_000_000;
+/// A client that was cut off may go on sending for so long, and so much, before the close.
+const LINGER: Micros = 500_000;
+const LINGER_BYTES: usize = 256 * 1024;
+/// A client's first request follows its connection at once: with no room left, one that has kept silent
+/// for longer than this goes first.
+const FIRST_BYTES: Micros = 50_000;
+/// A connection that was in use so short a while ago makes no room for a crowd.
+const KEPT: Micros = 2_000_000;
+/// A client that has more to say waits after so many rounds until others have had their turn.
+const ROUNDS: usize = 16;
+/// The most bytes that a connection can hold: a head or what was read last, a body, an answer to it.
+pub const LARGEST: usize = LONGEST_INPUT + 2 * http1::LONGEST_BODY;
 
 #[derive(Debug)]
 enum State {
@@ -40,36 +54,59 @@
     state: State,
     /// The client wants the connection closed after this answer.
     close: bool,
-    /// The client may still be sending when the last answer is written.
-    linger: bool,
+    /// The client may still be sending when the last answer is written: so much of it is passed over.
+    linger: Option<usize>,
+    /// No request of this client has become whole yet.
+    fresh: bool,
     /// A request has begun to come in.
     begun: bool,
     /// When the present wait for the client began.
     since: Micros,
 }
 
+/// How a connection goes on.
+enum Next {
+    Wait,
+    /// There is more to read; others come first.
+    Again,
+    Over,
+}
+
 /// The connections of the HTTP front.
 pub struct Front {
     connections: BTreeMap<u64, Connection>,
     next: u64,
     most: usize,
     draining: bool,
+    /// Connections that have more to read.
+    again: Vec<u64>,
 }
 
 impl Front {
     /// A front for at most `most` connections.
     #[must_use]
     pub fn new(most: usize) -> Self {
-        Self { connections: BTreeMap::new(), next: 1, most, draining: false }
+        let (connections, again) = (BTreeMap::new(), Vec::new());
+        Self { connections, next: 1, most, draining: false, again }
     }
 
-    /// Whether one more connection fits; an idle one is closed to make room.
-    pub fn has_room(&mut self) -> bool {
+    /// Whether one more connection fits. To make room one goes that has had its last answer, or else the
+    /// one that has kept silent for longest since it was opened, or else the one idle for longest; but
+    /// while many are too new to tell a crowd from clients whose request is on its way, those that were
+    /// in use a short while ago are kept, and others wait.
+    pub fn has_room(&mut self, now: Micros) -> bool {
         if self.connections.len() >= self.most {
-            let idle =
-                |c: &Connection| matches!(c.state, State::Idle) && c.input.is_empty() && c.output.is_empty();
-            let oldest = self.connections.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| c.since);
-            if let Some(id) = oldest.map(|(&id, _)| id) {
+            let is_new = |c: &&Connection| c.fresh && c.since + FIRST_BYTES > now;
+            let crowd = self.connections.values().filter(is_new).count() > self.most / 4;
+            let rank = |c: &Connection| match c.state {
+                State::Lingering => Some(0),
+                _ if !c.output.is_empty() => None,
+                State::Idle | State::Body(..) if c.fresh => (c.since + FIRST_BYTES <= now).then_some(1),
+                State::Idle if c.input.is_empty() => (!crowd || c.since + KEPT <= now).then_some(2),
+                _ => None,
+            };
+            let ranked = self.connections.iter().filter_map(|(&id, c)| Some((rank(c)?, c.since, id)));
+            if let Some((_, _, id)) = ranked.min() {
                 self.connections.remove(&id);
             }
         }
@@ -92,7 +129,8 @@
                         output,
                         state,
                         close: false,
-                        linger: false,
+                        linger: None,
+                        fresh: true,
                         begun: false,
                         since: now,
                     },
@@ -105,11 +143,15 @@
     /// A connection's socket is ready.
     pub fn ready(&mut self, now: Micros, id: u64, core: &mut Core) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        if !connection.ready(now, id, core, self.draining) {
-            if matches!(connection.state, State::Asked) {
-                core.gone(Asker::Http(id));
+        match connection.ready(now, id, core, self.draining) {
+            Next::Wait => {}
+            Next::Again => self.again.push(id),
+            Next::Over => {
+                if matches!(connection.state, State::Asked) {
+                    core.gone(Asker::Http(id));
+                }
+                self.connections.remove(&id);
             }
-            self.connections.remove(&id);
         }
     }
 
@@ -146,18 +188,24 @@
         }
     }
 
-    /// When the first client has kept it waiting for too long.
+    /// When the first client has kept it waiting for too long, or has more to read.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
+        if !self.again.is_empty() {
+            return Some(0);
+        }
         self.connections.values().filter_map(Connection::deadline).min()
     }
 
-    /// Cuts off clients that have kept it waiting for too long.
-    pub fn expire(&mut self, now: Micros) {
+    /// Goes on where there was more to read, and cuts off clients that have kept it waiting for too long.
+    pub fn expire(&mut self, now: Micros, core: &mut Core) {
+        for id in std::mem::take(&mut self.again) {
+            self.ready(now, id, core);
+        }
         self.connections.retain(|_, c| match c.deadline() {
             Some(at) if at <= now && c.begun => {
                 c.refuse_input(now, Bad(408, "the request did not come in time"));
-                c.flush()
+                c.flush(now)
             }
             Some(at) => at > now,
             None => true,
@@ -168,26 +216,33 @@
 impl Connection {
     /// When the client has kept it waiting for too long.
     fn deadline(&self) -> Option<Micros> {
-        match self.state {
-            State::Asked if self.output.is_empty() => None,
-            State::Idle if !self.begun && self.output.is_empty() => Some(self.since + LONGEST_IDLE),
-            _ => Some(self.since + SLOWEST),
-        }
+        let wait = match self.state {
+            State::Asked if self.output.is_empty() => return None,
+            State::Lingering => LINGER,
+            _ if !self.output.is_empty() => SLOWEST_ANSWER,
+            State::Idle if !self.begun && !self.fresh => LONGEST_IDLE,
+            _ => SLOWEST_REQUEST,
+        };
+        Some(self.since + wait)
     }
 
-    /// Goes on as far as the socket lets it; `false` when the connection is over.
-    fn ready(&mut self, now: Micros, id: u64, core: &mut Core, draining: bool) -> bool {
-        if !self.flush() {
-            return false;
-        }
-        loop {
+    /// Goes on as far as the socket lets it, within reason.
+    fn ready(&mut self, now: Micros, id: u64, core: &mut Core, draining: bool) -> Next {
+        for _ in 0..ROUNDS {
+            if !self.flush(now) {
+                return Next::Over;
+            }
             let end = self.stream.read(&mut self.input, LONGEST_INPUT);
-            let mut moved = false;
+            let (held, mut moved) = (self.input.len(), false);
             if matches!(self.state, State::Lingering) {
+                match self.linger.and_then(|left| left.checked_sub(held)) {
+                    None => return Next::Over,
+                    left => self.linger = left,
+                }
                 self.input.clear();
-                moved = true;
             }
-            while matches!(self.state, State::Idle | State::Body(..)) {
+            // A client that does not take its answers gets no more of them.
+            while matches!(self.state, State::Idle | State::Body(..)) && self.output.is_empty() {
                 match self.step(now, id, core, draining) {
                     Ok(true) => moved = true,
                     Ok(false) => break,
@@ -196,20 +251,29 @@
                         moved = true;
                     }
                 }
+                if !self.flush(now) {
+                    return Next::Over;
+                }
             }
+            moved |= self.input.len() < held;
             let begun = matches!(self.state, State::Body(..))
                 || (matches!(self.state, State::Idle) && !self.input.is_empty());
-            if begun && !self.begun {
+            if begun && !self.begun && !self.fresh {
                 self.since = now;
             }
             self.begun = begun;
-            if !self.flush() || end == ReadEnd::Closed {
-                return false;
+            if self.input.is_empty() {
+                // Idle clients hold no buffers.
+                self.input = Vec::new();
+            }
+            if end == ReadEnd::Closed {
+                return Next::Over;
             }
             if end == ReadEnd::Blocked || !moved {
-                return true;
+                return Next::Wait;
             }
         }
+        Next::Again
     }
 
     /// Takes the next piece of a request; `false` when more has to come first.
@@ -225,6 +289,7 @@
             }
             State::Body(_, body) => {
                 let Some(body) = body.take(&mut self.input)? else { return Ok(false) };
+                self.fresh = false;
                 if let State::Body(head, _) = std::mem::replace(&mut self.state, State::Asked) {
                     self.close = head.close;
                     if let Err(reply) = route(now, id, &head, &body, core, draining) {
@@ -255,17 +320,27 @@
         tracing::debug!("bad request: {words}");
         self.output.extend(http1::write(status, &[], &error(words), true));
         self.state = State::Closing;
-        (self.linger, self.begun, self.since) = (true, false, now);
+        (self.linger, self.begun, self.since) = (Some(LINGER_BYTES), false, now);
+        self.input = Vec::new();
     }
 
     /// Writes what the socket takes; `false` when the connection is over.
-    fn flush(&mut self) -> bool {
-        match self.stream.write(&self.output) {
-            Ok(done) => drop(self.output.drain(..done)),
-            Err(_) => return false,
+    fn flush(&mut self, now: Micros) -> bool {
+        if !self.output.is_empty() {
+            match self.stream.write(&self.output) {
+                Ok(0) => {}
+                Ok(done) => {
+                    self.output.drain(..done);
+                    self.since = now;
+                }
+                Err(_) => return false,
+            }
+        }
+        if self.output.is_empty() {
+            self.output = Vec::new();
         }
         if self.output.is_empty() && matches!(self.state, State::Closing) {
-            if !self.linger {
+            if self.linger.is_none() {
                 return false;
             }
             self.stream.finish();
@@ -334,7 +409,8 @@
 fn ask(head: &Head, body: &[u8], core: &Core) -> Result<crate::core::Ask, &'static str> {
     let req_id = head.header("req-id").filter(|id| query::is_id(id)).ok_or("Req-Id is missing or odd")?;
     let class = head.header("req-kind").and_then(|name| core.class(name)).ok_or("the class is unknown")?;
-    let wait = head.header("req-deadline-ms").and_then(|ms| ms.parse::<u32>().ok());
+    let digits = head.header("req-deadline-ms").filter(|ms| ms.bytes().all(|b| b.is_ascii_digit()));
+    let wait = digits.and_then(|ms| ms.parse::<u32>().ok());
     let expires_in = Micros::from(wait.ok_or("Req-Deadline-Ms is missing or odd")?) * 1000;
     let retry = head.header("req-retry") == Some("1");
     let body: Value = serde_json::from_slice(body).map_err(|_| "the body is not JSON")?;
--- a/src/gatherer.rs
+++ b/src/gatherer.rs
@@ -17,14 +17,32 @@
 
 /// Descriptors kept for what is neither a client nor a host: the loop, discovery, listeners, the log.
 const RESERVED: usize = 16;
-/// Most connections of each kind, so that their full buffers together stay well inside 192 MB: at the
-/// worst 80 KB of input and 70 KB of output for an HTTP client, 1 MB for a Flight client (16 streams of
-/// 64 KB), 0.5 MB for a host.
-const MOST_CLIENTS: usize = 384;
-const MOST_FLIGHT_CLIENTS: usize = 64;
-const MOST_HOST_CONNECTIONS: usize = 128;
+/// The most that the buffers of one connection of a kind are reckoned to hold: 16 streams of a Flight
+/// client, and for a host a frame that comes and a call that goes.
+const FLIGHT_CLIENT_BYTES: usize = 1024 * 1024;
+const HOST_BYTES: usize = 128 * 1024;
+
+/// How many connections of each kind there may be, from the limits on descriptors and memory: all their
+/// buffers together, full, stay within seven eighths of the memory.
+struct Room {
+    clients: usize,
+    flight_clients: usize,
+    hosts: usize,
+}
+
+impl Room {
+    fn of(config: &Config) -> Self {
+        let (sockets, memory) = (config.links.sockets.saturating_sub(RESERVED), config.memory);
+        let hosts = (sockets / 4).min(memory / 4 / HOST_BYTES).max(1);
+        let offered = usize::from(config.flight.listen.is_some());
+        let flight_clients = (sockets / 8).min(memory / 8 / FLIGHT_CLIENT_BYTES).max(1) * offered;
+        let clients = (sockets - hosts - flight_clients).min(memory / 2 / http::LARGEST).max(1);
+        Self { clients, flight_clients, hosts }
+    }
+}
+
 /// How long accepting rests when no more descriptors are to be had.
-const REST: Micros = 50_000;
+const REST: Micros = 20_000;
 
 /// The program's parts.
 pub struct Gatherer {
@@ -55,12 +73,11 @@
     /// One line that says what is wrong.
     fn start(load: Load, handle: Handle) -> Result<Self, String> {
         let config = load()?;
+        let room = Room::of(&config);
         let clock = Clock::start();
         let zones = config.site.zones.clone();
         let core = Core::new(config.seed, config.site, config.bounds).map_err(|e| e.to_string())?;
         let known = discovery::parse(&config.known).map_err(|e| format!("known: {e}"))?;
-        let room = config.links.sockets.saturating_sub(RESERVED);
-        let share = |part: usize, most: usize| (room / part).clamp(1, most);
         let listener = Listener::bind(&handle, config.listen, Gatherer::http_accept)
             .map_err(|e| format!("{}: {e}", config.listen))?;
         let bind =
@@ -70,10 +87,10 @@
             clock,
             lifecycle: Lifecycle::default(),
             core,
-            http: http::Front::new(share(2, MOST_CLIENTS)),
-            flight: flight::Front::new(share(8, MOST_FLIGHT_CLIENTS), config.seed),
+            http: http::Front::new(room.clients),
+            flight: flight::Front::new(room.flight_clients, config.seed),
             flight_listener,
-            pool: Pool::new(config.links, config.flight.clone(), share(4, MOST_HOST_CONNECTIONS)),
+            pool: Pool::new(config.links, config.flight.clone(), room.hosts),
             discovery: Discovery::new(config.discovery, known.generation),
             roster: Roster::default(),
             zones,
@@ -135,7 +152,7 @@
     fn step(&mut self) -> Phase {
         let now = self.clock.now();
         self.pool.expire(now);
-        self.http.expire(now);
+        self.http.expire(now, &mut self.core);
         self.flight.expire(now, &mut self.core);
         if let Some(news) = self.discovery.expire(now) {
             self.news(news);
@@ -246,7 +263,7 @@
 
     /// Callback: clients wait to be accepted.
     fn http_accept(&mut self) {
-        while self.http.has_room() || self.rest("no room for another connection") {
+        while self.http.has_room(self.clock.now()) || self.rest("no room for another connection") {
             let Some(socket) = self.accept(|g| &g.listener) else { return };
             self.http.accept(self.clock.now(), &self.handle, socket);
         }
@@ -254,6 +271,9 @@
 
     /// Callback: Flight clients wait to be accepted.
     fn flight_accept(&mut self) {
+        if self.flight_listener.is_none() {
+            return;
+        }
         while self.flight.has_room() || self.rest("no room for another Flight connection") {
             let Some(socket) = self.accept(|g| &g.flight_listener) else { return };
             self.flight.accept(self.clock.now(), &self.handle, socket);
--- a/src/net.rs
+++ b/src/net.rs
@@ -65,6 +65,9 @@
     Ok(Watch { handle: handle.clone(), token })
 }
 
+/// Clients that wait to be accepted; one more than that would have to dial again a second later.
+const BACKLOG: i32 = 1024;
+
 /// A listening socket.
 pub struct Listener {
     socket: Rc<TcpListener>,
@@ -81,8 +84,12 @@
         addr: SocketAddr,
         callback: impl FnMut(&mut Gatherer) + 'static,
     ) -> io::Result<Self> {
-        let socket = Rc::new(TcpListener::bind(addr)?);
+        let socket = socket2::Socket::new(socket2::Domain::for_address(addr), socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
+        socket.bind(&addr.into())?;
+        socket.listen(BACKLOG)?;
+        let socket = Rc::new(TcpListener::from(socket));
         let watch = watch(handle, Rc::clone(&socket), callback)?;
         Ok(Self { socket, _watch: watch })
     }
--- a/tests/gatherer.rs
+++ b/tests/gatherer.rs
@@ -305,7 +305,7 @@
 // Guards the HTTP front's framing: bad input gets a 4xx, and a close where framing is lost.
 #[test]
 fn malformed_http_is_turned_down() {
-    assert_snapshot!(play(Wire::Http, r"
+    assert_snapshot!(play(Wire::Http, r#"
         send raw GET /healthz HTTP/1.1\r\n\r\n
         expect raw
         send raw NONSENSE\r\n\r\n
@@ -324,7 +324,9 @@
         expect raw
         send raw POST /api HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: search\r\nReq-Deadline-Ms: 9\r\nContent-Length: 1\r\n\r\n{
         expect raw
-    "), @r"
+        send raw POST /api HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: search\r\nReq-Deadline-Ms: +900\r\nContent-Length: 59\r\n\r\n{"ranges":[{"range":0,"portion":1}],"predicate":"c41e77d0"}
+        expect raw
+    "#), @r"
     raw 200
     raw 400, closed
     raw 404
@@ -334,6 +336,7 @@
     raw 400, closed
     raw 400
     raw 400
+    raw 400
     ");
 }
 
@@ -557,3 +560,21 @@
     c: whole 0=z
     ");
 }
+
+// Guards against a client that never finishes its request: it hears so while a query that came after it
+// still has time.
+#[test]
+fn half_a_request_is_told_soon() {
+    assert_snapshot!(play(Wire::Http, r"
+        send raw POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n{
+        send a search 4000 0
+        expect part 0
+        expect raw
+        send part 0 good x
+        expect a
+    "), @r"
+    part 0
+    raw 408, closed
+    a: whole 0=x
+    ");
+}
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -87,7 +87,7 @@
             statuses.map(move |s| (path.clone(), method.clone(), s.parse().expect("a status")))
         })
         .collect();
-    // These two take a wait of 20 s and a stop.
+    // These two take a wait of 2 s and a stop; scenarios play them.
     let unseen: Vec<_> =
         described.difference(&seen).map(|(path, _, status)| (path.as_str(), *status)).collect();
     assert_eq!(unseen, [("/api", 408), ("/healthz", 503)]);
@@ -210,7 +210,7 @@
 // Guards the event loop where descriptors run out: it neither ends nor spins, and goes on when it can.
 #[test]
 fn a_crowd_beyond_the_descriptors_is_survived() {
-    assert_snapshot!(play_within(Wire::Http, 40, "
+    assert_snapshot!(play_within(Wire::Http, 1024, 40, "
         send crowd 60
         expect log clients wait
         close crowd
@@ -224,3 +224,27 @@
     a: whole 0=x
     ");
 }
+
+// Guards clients that come back against a crowd that says nothing, and the bounds on connections, which
+// follow the limits that the program is told: neither a kept connection nor a descriptor is lost.
+#[test]
+fn a_crowd_pushes_out_its_own() {
+    assert_snapshot!(play_within(Wire::Http, 64, 64, r"
+        send raw GET /healthz HTTP/1.1\r\n\r\n
+        expect raw
+        send crowd 120
+        wait 300
+        send more GET /healthz HTTP/1.1\r\n\r\n
+        expect raw
+        send a search 3000 0
+        expect part 0
+        send part 0 good x
+        expect a
+        expect no log Too many open files
+    "), @r"
+    raw 200
+    raw 200
+    part 0
+    a: whole 0=x
+    ");
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -16,6 +16,7 @@
 //! send term                       the program gets SIGTERM
 //! send reload                     the program gets SIGHUP, with a file that names a new discovery;
 //!                                 `send reload bad`: with one that makes no sense
+//! send more TEXT                  the same client sends these, once it has its answer
 //! send crowd N                    so many clients connect and say nothing
 //! expect part SHARD               a host has got the part
 //! expect cancel SHARD             a host was told that nobody waits for the part
@@ -25,6 +26,7 @@
 //! expect runs SHARD               how many times the part was sent so far
 //! expect hosts                    the hosts that have been sent anything so far
 //! expect raw                      the status of the answer, and whether the connection was closed
+//! expect no log TEXT              the program has written no such line so far
 //! expect exit                     the program's exit code
 //! expect log TEXT                 the program writes such a line
 //! close part SHARD                the host cuts the connection; on Flight, halfway through the answer
@@ -199,7 +201,7 @@
 }
 
 impl World {
-    fn new(wire: Wire, descriptors: u32, probes: bool) -> Self {
+    fn new(wire: Wire, told: u32, descriptors: u32, probes: bool) -> Self {
         let (sender, events) = channel();
         let away = Arc::new(Mutex::new(if let Wire::Away(last) = wire { Some(last) } else { None }));
         let host = |i| match wire {
@@ -210,7 +212,9 @@
         let roster = plain::Roster::start();
         let offers = if wire == Wire::Http { json!([]) } else { json!("all") };
         let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": offers}});
-        let program = Program::start(&config(&hosts, roster.addr), &operator, descriptors);
+        let mut file = config(&hosts, roster.addr);
+        file["limits"]["sockets"] = json!(told);
+        let program = Program::start(&file, &operator, descriptors);
         Self {
             wire,
             program,
@@ -272,12 +276,15 @@
                 });
             }
             ["send", "raw", ..] => {
-                let text = line.split_once("raw ").expect("bytes").1;
-                let bytes = text.replace("\\r", "\r").replace("\\n", "\n");
                 let mut raw = TcpStream::connect(self.program.http).expect("a connection");
-                raw.write_all(bytes.as_bytes()).expect("room in the socket");
+                raw.write_all(&raw_bytes(line, "raw ")).expect("room in the socket");
                 self.raw = Some(raw);
             }
+            ["send", "more", ..] => {
+                let raw = self.raw.as_mut().expect("raw bytes were sent");
+                // A connection that the program has closed shows when its answer is expected.
+                drop(raw.write_all(&raw_bytes(line, "more ")));
+            }
             ["send", "crowd", _] => {
                 let connect = |_| TcpStream::connect(self.program.http).expect("a connection");
                 self.crowd = (0..number(2)).map(connect).collect();
@@ -346,20 +353,29 @@
             ["expect", "raw"] => {
                 let mut raw = self.raw.take().expect("raw bytes were sent");
                 raw.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-                let (mut lines, mut text) = (BufReader::new(&mut raw).lines(), String::new());
-                while let Some(line) = lines.next().and_then(Result::ok).filter(|line| !line.is_empty()) {
-                    text += &(line + "\n");
+                let mut text = String::new();
+                let mut byte = [0];
+                while !text.ends_with("\r\n\r\n") && raw.read_exact(&mut byte).is_ok() {
+                    text.push(byte[0].into());
                 }
-                drop(lines);
+                let length = text.split_once("Content-Length: ").and_then(|(_, rest)| rest.split_once('\r'));
+                let length = length.and_then(|(length, _)| length.parse().ok()).unwrap_or(0);
+                drop(raw.read_exact(&mut vec![0; length]));
                 let status = text.split(' ').nth(1).unwrap_or("none");
                 let closes = text.contains("Connection: close");
                 let closed = closes && raw.read_to_end(&mut Vec::new()).is_ok();
+                self.raw = (!closes).then_some(raw);
                 return Some(format!("raw {status}{}", if closed { ", closed" } else { "" }));
             }
             ["expect", "exit"] => {
                 let status = self.program.child.wait().expect("an exit code");
                 return Some(format!("exit {:?}", status.code()));
             }
+            ["expect", "no", "log", ..] => {
+                let text = line.split_once("log ").expect("a text").1;
+                let log = self.program.log.lock().expect("a sound lock");
+                assert!(!log.iter().any(|line| line.contains(text)), "{log:#?}");
+            }
             ["expect", "log", ..] => {
                 let text = line.split_once("log ").expect("a text").1;
                 let written =
@@ -390,12 +406,17 @@
 
 /// Plays a scenario on one wire and returns its transcript.
 pub fn play(wire: Wire, scenario: &str) -> String {
-    play_within(wire, 1024, scenario)
+    play_within(wire, 1024, 1024, scenario)
+}
+
+fn raw_bytes(line: &str, word: &str) -> Vec<u8> {
+    let text = line.split_once(word).expect("bytes").1;
+    text.replace("\\r", "\r").replace("\\n", "\n").into_bytes()
 }
 
-/// Plays a scenario with a program that may hold so many descriptors.
-pub fn play_within(wire: Wire, descriptors: u32, scenario: &str) -> String {
-    let mut world = World::new(wire, descriptors, scenario.contains("expect probe"));
+/// Plays a scenario with a program that is told so many descriptors and may hold so many.
+pub fn play_within(wire: Wire, told: u32, descriptors: u32, scenario: &str) -> String {
+    let mut world = World::new(wire, told, descriptors, scenario.contains("expect probe"));
     transcript(scenario, |line| world.step(line))
 }
 
