Forget hosts that have left, in the roster, the pool and the router

Nothing else grows: Core's maps empty with their queries and attempts, a connection's with the connection. At fault: Roster::id, Pool::update, Router::list. Change: a host that has left, or that a whole list lacks, loses its number, which is never given out again; the pool keeps only what is still out there; the router forgets it once no call is out and the window of the cold rule has passed. Tests: hosts_that_have_left_are_forgotten, servers_that_are_gone_are_forgotten (100 replaced hosts).

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery: one HTTP/1.1 connection that watches the list of hosts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde_json::Value;
@@ -81,18 +81,33 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     ids: BTreeMap<String, ServerId>,
+    next: u32,
 }
 
 impl Roster {
-    /// The number of a host, the same for as long as the program runs.
-    pub fn id(&mut self, name: &str) -> ServerId {
-        if let Some(&id) = self.ids.get(name) {
-            return id;
+    /// The hosts of a list with their numbers, and the numbers that are forgotten with it: of those that
+    /// have left, and of those that a whole list lacks. A number is never given out twice.
+    pub fn take<'a>(&mut self, list: &'a List) -> (Vec<(ServerId, &'a Host)>, Vec<ServerId>) {
+        let mut hosts = Vec::new();
+        for host in &list.hosts {
+            match self.ids.get(&host.name) {
+                Some(&id) => hosts.push((id, host)),
+                None if host.phase == Phase::Gone => {}
+                None => {
+                    let id = ServerId(self.next);
+                    self.next += 1;
+                    tracing::info!("host {} is number {}", host.name, id.0);
+                    self.ids.insert(host.name.clone(), id);
+                    hosts.push((id, host));
+                }
+            }
         }
-        let id = ServerId(u32::try_from(self.ids.len()).unwrap_or(u32::MAX));
-        tracing::info!("host {name} is number {}", id.0);
-        self.ids.insert(name.to_owned(), id);
-        id
+        let named: BTreeSet<ServerId> = hosts.iter().map(|(id, _)| *id).collect();
+        let left = hosts.iter().filter(|(_, host)| host.phase == Phase::Gone).map(|(id, _)| *id);
+        let mut gone: BTreeSet<ServerId> = left.collect();
+        gone.extend(self.ids.values().filter(|id| list.reset && !named.contains(id)));
+        self.ids.retain(|_, id| !gone.contains(id));
+        (hosts, gone.into_iter().collect())
     }
 }
 
--- a/src/gatherer.rs
+++ b/src/gatherer.rs
@@ -224,9 +224,9 @@
     fn list(&mut self, list: List, saved: bool) {
         let now = self.clock.now();
         let mut entries = Vec::new();
-        for host in &list.hosts {
-            let server = self.roster.id(&host.name);
-            self.pool.update(now, server, host);
+        let (hosts, gone) = self.roster.take(&list);
+        for (server, host) in hosts {
+            self.pool.update(server, host);
             if host.phase != HostPhase::Ready || host.started.is_some() {
                 tracing::info!("host {} is {:?}, started {:?}", host.name, host.phase, host.started);
             }
@@ -234,6 +234,7 @@
             let (cell, phase, started) = (host.cell, host.phase, host.started);
             entries.push(ServerEntry { server, cell, phase, started, zone });
         }
+        gone.into_iter().for_each(|server| self.pool.forget(now, server));
         self.core.list(match (saved, list.reset) {
             (true, _) => ListNews::Saved(entries),
             (false, true) => ListNews::Full(entries),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,16 +11,13 @@
 
 const STEP_EVERY: Micros = 20 * MS; // The loop's period, from the design
 const RATE_STEP: f64 = 0.003; // Move of a drop rate in one period
-/// Highest drop rate, from the design: some queries must still show whether the trouble is over.
-const RATE_MAX: f64 = 0.99;
+const RATE_MAX: f64 = 0.99; // From the design: some queries must still show whether the trouble is over
 const TARGET: f64 = 0.85; // Share of recent queries that must meet the aim
-/// Factor of the counters in one period: what was seen two seconds ago counts a third.
-const DECAY: f64 = 0.99;
+const DECAY: f64 = 0.99; // Of the counters in one period: what was seen two seconds ago counts a third
 const EVIDENCE: f64 = 0.3; // Counters below this say nothing; one miss in two seconds moves the loop
 
 const RECENT_GAIN: f64 = 0.3; // Weight of one more answer in a server's recent latency
-/// Time in which a server's recent latency fades to a third when nothing is heard of it: as long as
-/// this router takes to come by every server once, within these bounds.
+/// Recent latency fades to a third while this router comes by every server once, within these bounds.
 const FADE_FIRST: f64 = 1_000_000.0;
 const FADE_LAST: f64 = 4_000_000.0;
 const DOOMED: f64 = 0.3; // A part expected to take more than this share of the aim is taken to miss it
@@ -30,8 +27,7 @@
 const LAST_SEND: Micros = 5 * MS; // No part is sent with less than this left before its query's end
 const HOLD_RETRY: Micros = 50 * MS; // How soon a part that could not be sent anywhere is looked at again
 
-/// Gains of the low latency, upwards and downwards: it settles near the tenth lowest of a hundred.
-const LOW_RISE: f64 = 0.02;
+const LOW_RISE: f64 = 0.02; // Gains of the low latency: it settles near the tenth lowest of a hundred
 const LOW_FALL: f64 = 0.2;
 const FIRST_GUESS: f64 = 0.15; // Until a class has answers, a part is taken to need this share of the aim
 
@@ -302,6 +298,10 @@
                 server.trials = 0;
             }
         }
+        // A server that is gone is forgotten, or a long day would fill the memory with those replaced.
+        let (now, window) = (self.now, self.settings.rules.fall_window);
+        let fresh = |s: &Server| s.sent.back().is_some_and(|(at, _)| at + window >= now);
+        self.servers.retain(|_, s| s.phase != Phase::Gone || !s.calls.is_empty() || fresh(s));
         self.cells.iter_mut().for_each(Vec::clear);
         for (id, server) in self.servers.iter().filter(|(_, s)| s.phase == Phase::Ready) {
             let cell = server.cell as usize % self.cells.len().max(1);
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -98,14 +98,17 @@
     }
 
     /// What discovery tells of a host.
-    pub fn update(&mut self, now: Micros, server: ServerId, host: &Host) {
+    pub fn update(&mut self, server: ServerId, host: &Host) {
         if let Some(addr) = host.addr {
             let flight = self.flight.every_host || self.flight.hosts.contains(&host.name);
             self.hosts.insert(server, Place { addr, flight });
         }
-        if host.phase == Phase::Gone {
-            self.connections.retain(|_, c| c.server != server || c.link.load(now) > 0);
-        }
+    }
+
+    /// A host is gone: what is out there is waited for, and nothing else is kept of it.
+    pub fn forget(&mut self, now: Micros, server: ServerId) {
+        self.hosts.remove(&server);
+        self.connections.retain(|_, c| c.server != server || c.link.load(now) > 0);
     }
 
     /// What has been reported since the last look.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use insta::assert_snapshot;
+use mallowgauge::discovery::{parse, Roster};
 use mallowgauge::flight::grpc::{Deframer, FlightData};
 use mallowgauge::flight::table::{answer, Reader};
 use mallowgauge::front::http1;
@@ -12,6 +13,7 @@
 use mallowgauge::ShardId;
 use prost::Message;
 use scenario::inner::inside;
+use serde_json::{json, Value};
 
 // Guards the cost of calls: what a turn sends to one host is one call, for several queries too.
 #[test]
@@ -318,3 +320,30 @@
     an answer to a probe with an unknown end
     "#);
 }
+
+// Guards the memory of a long day: the name of a host that has left, or that a whole list lacks, is
+// forgotten, and its number is not given out again.
+#[test]
+fn hosts_that_have_left_are_forgotten() {
+    let mut roster = Roster::default();
+    let mut seen = Vec::new();
+    let mut tell = |reset: bool, told: &[(&str, &str)]| {
+        let host = |(name, state): &(&str, &str)| json!({"instanceId": name, "hostPort": "127.0.0.1:1", "cell": 0, "lifecycle": state});
+        let instances: Vec<Value> = told.iter().map(host).collect();
+        let list = parse(&json!({"generation": 1, "reset": reset, "instances": instances})).expect("a list");
+        let (hosts, gone) = roster.take(&list);
+        let named: Vec<String> = hosts.iter().map(|(id, host)| format!("{}={}", host.name, id.0)).collect();
+        let gone: Vec<u32> = gone.iter().map(|id| id.0).collect();
+        seen.push(format!("{} forgets {gone:?}", named.join(" ")));
+    };
+    tell(true, &[("a", "active"), ("b", "active"), ("c", "active")]);
+    tell(false, &[("a", "left"), ("d", "active")]);
+    tell(false, &[("a", "left"), ("a", "active")]);
+    tell(true, &[("b", "leaving"), ("a", "active")]);
+    assert_snapshot!(seen.join("\n"), @r"
+    a=0 b=1 c=2 forgets []
+    a=0 d=3 forgets [0]
+    a=4 forgets []
+    b=1 a=4 forgets [2, 3]
+    ");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -748,3 +748,24 @@
     (0..3).for_each(|_| run(&mut d, true));
     assert!(suspects(&d) > 0);
 }
+
+// Guards the memory of a long day on which servers are replaced all the time: what is gone is forgotten,
+// once nothing is out there.
+#[test]
+fn servers_that_are_gone_are_forgotten() {
+    let mut d = Driver::ready(safe());
+    let (part, server) = sends(&d.query(1, 0, &[0]))[0];
+    let gone = |id: ServerId| ServerEntry { server: id, ..entry(0, Phase::Gone, None) };
+    for fresh in 6..100 {
+        let known: Vec<ServerId> = d.router.servers().map(|s| s.server).collect();
+        let list = known.iter().map(|id| gone(*id)).chain([entry(fresh, Phase::Ready, None)]).collect();
+        d.give(vec![Event::List(ListNews::Changes(list))]);
+        d.now += 10 * MS;
+    }
+    let known = |d: &Driver| d.router.servers().map(|s| s.server).collect::<Vec<_>>();
+    assert_eq!(known(&d), [server, ServerId(99)], "a part is out on the first");
+    d.served(part, 0, SECOND);
+    d.pass(3 * SECOND);
+    d.give(vec![Event::List(ListNews::Changes(Vec::new()))]);
+    assert_eq!(known(&d), [ServerId(99)]);
+}
