Keep client connections open while draining, until the front sends clients elsewhere

Checked: every query asked and finished was logged (a probe, since removed): each gatherer finished all that it was asked, so the lost ones never reached one. n0 was told to end at 16.04 s and got its last query at 16.34 s; n1, back since 15.71 s, got its first at 16.59 s, once the front had admitted it. For 0.25 s there was nowhere to go, though n0 served until 16.69 s. Ruled out: discovery (both lists in time), attempts (none timed out), the new configurations (4 read, none near). At fault: Front::drain and Connection::reply in src/front/http.rs: "Connection: close" on every answer from the first moment of draining, so clients gave up sound connections for ones that nobody would take. Change: connections close only in the phase Finishing; /healthz says 503 from the start as before. Test: a_kept_connection_stays_open_while_the_program_drains ("raw 503, closed" on the old code). Conclusion: a gatherer that ends must not send clients away before the front does.

--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -9,6 +9,7 @@
 use crate::front::query::{self, Frame};
 use crate::gatherer::Gatherer;
 use crate::interface::Micros;
+use crate::lifecycle::Phase;
 use crate::net::{Handle, ReadEnd, Stream};
 
 /// Read from a client at a time: a whole head fits, and of a body what has come is taken off at once.
@@ -77,7 +78,8 @@
     connections: BTreeMap<u64, Connection>,
     next: u64,
     most: usize,
-    draining: bool,
+    /// Where the program is between start and exit.
+    phase: Phase,
     /// Connections that have more to read.
     again: Vec<u64>,
 }
@@ -87,7 +89,7 @@
     #[must_use]
     pub fn new(most: usize) -> Self {
         let (connections, again) = (BTreeMap::new(), Vec::new());
-        Self { connections, next: 1, most, draining: false, again }
+        Self { connections, next: 1, most, phase: Phase::Starting, again }
     }
 
     /// Whether one more connection fits. To make room one goes that has had its last answer, or else the
@@ -143,7 +145,7 @@
     /// A connection's socket is ready.
     pub fn ready(&mut self, now: Micros, id: u64, core: &mut Core) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        match connection.ready(now, id, core, self.draining) {
+        match connection.ready(now, id, core, self.phase) {
             Next::Wait => {}
             Next::Again => self.again.push(id),
             Next::Over => {
@@ -158,7 +160,7 @@
     /// The core has decided.
     pub fn answer(&mut self, now: Micros, id: u64, answer: &Answer, core: &mut Core) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        connection.answer(now, answer, self.draining);
+        connection.answer(now, answer, self.phase);
         // What the client sent ahead is looked at now; a readiness for it will not come again.
         self.ready(now, id, core);
     }
@@ -171,9 +173,10 @@
         self.connections.values().any(owes)
     }
 
-    /// From now on every answer asks the client to go elsewhere.
-    pub fn drain(&mut self) {
-        self.draining = true;
+    /// The program's phase has changed. While it drains, connections stay open: a client that is sent
+    /// away before the front knows of another gatherer has nowhere to go.
+    pub fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
     }
 
     /// Closes connections without a request, after a last look for one.
@@ -227,7 +230,7 @@
     }
 
     /// Goes on as far as the socket lets it, within reason.
-    fn ready(&mut self, now: Micros, id: u64, core: &mut Core, draining: bool) -> Next {
+    fn ready(&mut self, now: Micros, id: u64, core: &mut Core, phase: Phase) -> Next {
         for _ in 0..ROUNDS {
             if !self.flush(now) {
                 return Next::Over;
@@ -243,7 +246,7 @@
             }
             // A client that does not take its answers gets no more of them.
             while matches!(self.state, State::Idle | State::Body(..)) && self.output.is_empty() {
-                match self.step(now, id, core, draining) {
+                match self.step(now, id, core, phase) {
                     Ok(true) => moved = true,
                     Ok(false) => break,
                     Err(bad) => {
@@ -277,7 +280,7 @@
     }
 
     /// Takes the next piece of a request; `false` when more has to come first.
-    fn step(&mut self, now: Micros, id: u64, core: &mut Core, draining: bool) -> Result<bool, Bad> {
+    fn step(&mut self, now: Micros, id: u64, core: &mut Core, phase: Phase) -> Result<bool, Bad> {
         match &mut self.state {
             State::Idle => {
                 let Some((head, body)) = http1::request(&mut self.input)? else { return Ok(false) };
@@ -292,8 +295,8 @@
                 self.fresh = false;
                 if let State::Body(head, _) = std::mem::replace(&mut self.state, State::Asked) {
                     self.close = head.close;
-                    if let Err(reply) = route(now, id, &head, &body, core, draining) {
-                        self.reply(now, reply, draining);
+                    if let Err(reply) = route(now, id, &head, &body, core, phase) {
+                        self.reply(now, reply, phase);
                     }
                 }
                 Ok(true)
@@ -302,14 +305,14 @@
         }
     }
 
-    fn answer(&mut self, now: Micros, answer: &Answer, draining: bool) {
+    fn answer(&mut self, now: Micros, answer: &Answer, phase: Phase) {
         if matches!(self.state, State::Asked) {
-            self.reply(now, render(answer), draining);
+            self.reply(now, render(answer), phase);
         }
     }
 
-    fn reply(&mut self, now: Micros, Reply(status, extra, body): Reply, draining: bool) {
-        let close = self.close || draining;
+    fn reply(&mut self, now: Micros, Reply(status, extra, body): Reply, phase: Phase) {
+        let close = self.close || phase == Phase::Finishing;
         self.output.extend(http1::write(status, &extra, &body, close));
         self.state = if close { State::Closing } else { State::Idle };
         self.since = now;
@@ -372,14 +375,7 @@
 }
 
 /// Answers a request, or hands its query to the core.
-fn route(
-    now: Micros,
-    id: u64,
-    head: &Head,
-    body: &[u8],
-    core: &mut Core,
-    draining: bool,
-) -> Result<(), Reply> {
+fn route(now: Micros, id: u64, head: &Head, body: &[u8], core: &mut Core, phase: Phase) -> Result<(), Reply> {
     let method = |wanted: &'static str| {
         if head.method == wanted {
             Ok(())
@@ -390,7 +386,7 @@
     match head.path.as_str() {
         "/healthz" => {
             method("GET")?;
-            Err(if draining {
+            Err(if matches!(phase, Phase::Draining | Phase::Finishing) {
                 Reply(503, vec![], "draining\n".into())
             } else {
                 Reply(200, vec![], "ok\n".into())
--- a/src/gatherer.rs
+++ b/src/gatherer.rs
@@ -171,6 +171,7 @@
             self.http_accept();
             self.flight_accept();
             (self.listener, self.flight_listener) = (None, None);
+            self.http.enter(self.lifecycle.phase());
             self.flight.drain(now, &mut self.core);
         }
         if self.lifecycle.phase() == Phase::Finishing {
@@ -258,7 +259,7 @@
     fn terminate(&mut self) {
         let now = self.clock.now();
         self.lifecycle.terminate(now);
-        self.http.drain();
+        self.http.enter(self.lifecycle.phase());
         self.flight.drain(now, &mut self.core);
     }
 
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -9,7 +9,7 @@
     Starting,
     /// Taking queries.
     Serving,
-    /// Told to end: still takes what comes, and asks clients to go elsewhere.
+    /// Told to end: still takes what comes, but asks the platform's front to send clients elsewhere.
     Draining,
     /// Takes no new connections; finishes what it has.
     Finishing,
--- a/tests/gatherer.rs
+++ b/tests/gatherer.rs
@@ -578,3 +578,23 @@
     a: whole 0=x
     ");
 }
+
+// Guards clients against a planned restart: the connections that they have stay open until the platform's
+// front has had the time to send them elsewhere.
+#[test]
+fn a_kept_connection_stays_open_while_the_program_drains() {
+    assert_snapshot!(play(Wire::Http, r"
+        send raw GET /healthz HTTP/1.1\r\n\r\n
+        expect raw
+        send term
+        expect log Serving -> Draining
+        send more GET /healthz HTTP/1.1\r\n\r\n
+        expect raw
+        expect exit
+    "), @r"
+    raw 200
+    log Serving -> Draining
+    raw 503
+    exit Some(0)
+    ");
+}
