Spread parts over up to four connections a host, and leave silent ones soon

Checked: the pool put all parts for a host on one connection (27 at once for 24 pairs), so a cut or a spoilt answer took all that was out there; new parts left a silent connection after 1 s, where the aim is 0.38 s. At fault: Pool::connection and SILENT in src/upstream/pool.rs and flight.rs. Change: while all connections to a host are busy another is opened, up to four; silence is 0.15 of the shortest aim; a silent connection is a last resort and ends with the last part that it was silent on; what a host has to say is read before a call is written. Tests: a_connection_that_breaks_takes_few_parts_with_it (both wires), a_silent_connection_ends_with_its_part; both fail on the old code.

--- a/src/config.rs
+++ b/src/config.rs
@@ -16,6 +16,8 @@
     pub idle: Micros,
     /// A connection that is not up by then is given up.
     pub dial: Micros,
+    /// With nothing heard on a connection for so long while something is out, new parts take another.
+    pub silent: Micros,
     /// Most parts that one connection carries at a time.
     pub streams: usize,
     /// Most parts in a call.
@@ -59,6 +61,8 @@
     pub flight: Flight,
 }
 
+/// Silence on a connection is told from slowness after this share of the shortest aim.
+const SILENT: f64 = 0.15;
 /// Descriptors held where the platform states no limit.
 const SOCKETS: u64 = 1024;
 /// Megabytes used where the platform states no limit.
@@ -111,6 +115,7 @@
         if sockets < FEWEST_SOCKETS {
             return Err(format!("limits.sockets is below {FEWEST_SOCKETS}"));
         }
+        let aim = site.settings.classes.iter().map(|class| class.aim).min().unwrap_or_default();
         let seed = all.get("seed").and_then(Value::as_str).ok_or("seed is missing")?;
         let known = all.get("known").ok_or("known is missing")?;
         crate::discovery::parse(known).map_err(|e| format!("known: {e}"))?;
@@ -123,6 +128,7 @@
             links: Links {
                 idle: inner("Limits", "ConnIdleUs")?,
                 dial: inner("Limits", "DialTimeoutUs")?,
+                silent: (aim as f64 * SILENT) as Micros,
                 streams: small("Limits", "MaxStreams")?,
                 parts_a_call: site.settings.layout.parts_per_call as usize,
                 sockets,
--- a/src/upstream/flight.rs
+++ b/src/upstream/flight.rs
@@ -27,8 +27,6 @@
 
 /// Longest answer to a part that is taken from a host.
 const LONGEST: usize = 256 * 1024;
-/// With nothing heard for so long while something is out, new parts take another connection.
-const SILENT: Micros = 1_000_000;
 
 type Handshake =
     Pin<Box<dyn Future<Output = Result<(SendRequest<Bytes>, client::Connection<Wire, Bytes>), h2::Error>>>>;
@@ -122,11 +120,22 @@
         self.queue.iter().map(Vec::len).sum::<usize>() + self.calls.len()
     }
 
+    /// When it was last of use.
+    #[must_use]
+    pub fn used(&self) -> Micros {
+        self.used
+    }
+
     /// Whether new parts may go out on it.
     #[must_use]
-    pub fn usable(&self, now: Micros) -> bool {
-        let oldest = self.calls.iter().map(|call| call.sent.max(self.heard)).min();
-        !self.closing && oldest.is_none_or(|at| now < at + SILENT)
+    pub fn usable(&self) -> bool {
+        !self.closing
+    }
+
+    /// Since when something has been out with nothing heard.
+    #[must_use]
+    pub fn silent_since(&self) -> Option<Micros> {
+        self.calls.iter().map(|call| call.sent.max(self.heard)).min()
     }
 
     /// Sends a call; `false` when the connection is over.
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -1,5 +1,6 @@
 //! The pool: connections to each host, opened as needed and kept while they are of use.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -16,9 +17,10 @@
 /// A connection is closed after this share of the time after which hosts close it.
 const IDLE_SHARE: f64 = 0.8;
 /// No host is given more connections at a time than this.
-const MOST_A_HOST: usize = 16;
-/// With nothing heard on a connection for so long while something is out, new parts take another.
-const SILENT: Micros = 1_000_000;
+const MOST_A_HOST: usize = 8;
+/// While all connections to a host are busy, others are opened up to so many: what breaks one then cuts
+/// few parts.
+const SPREAD: usize = 4;
 
 #[derive(Debug)]
 struct Place {
@@ -67,10 +69,25 @@
         }
     }
 
-    fn usable(&self, now: Micros, sends: &[Send]) -> bool {
+    fn usable(&self, sends: &[Send]) -> bool {
         match self {
-            Link::Frames(link) => link.usable(now, sends),
-            Link::Flight(link) => link.usable(now),
+            Link::Frames(link) => link.usable(sends),
+            Link::Flight(link) => link.usable(),
+        }
+    }
+
+    /// Since when something has been out with nothing heard.
+    fn silent_since(&self) -> Option<Micros> {
+        match self {
+            Link::Frames(link) => link.silent_since(),
+            Link::Flight(link) => link.silent_since(),
+        }
+    }
+
+    fn used(&self) -> Micros {
+        match self {
+            Link::Frames(link) => link.used,
+            Link::Flight(link) => link.used(),
         }
     }
 
@@ -139,24 +156,39 @@
         }
     }
 
-    /// A connection with room for these, the emptiest first, or else a new one.
+    /// A connection with room for these, or else a new one: the emptiest first, and of those the one used
+    /// last, since the longer one rests the likelier it has gone without a word. Silent ones are taken
+    /// only where no more can be opened. What it has to say is read first: one that the host has closed
+    /// must not be written to.
     fn connection(&mut self, now: Micros, handle: &Handle, server: ServerId, sends: &[Send]) -> Option<u64> {
         let place = self.hosts.get(&server)?;
-        let (addr, streams) = (place.addr, self.links.streams);
+        let (addr, flight, links) = (place.addr, place.flight, self.links);
+        let spread = (self.most / self.hosts.len().max(1)).clamp(1, SPREAD);
         let fits = |c: &Connection| {
             let load = c.link.load(now);
-            c.addr == addr && (load == 0 || load + sends.len() <= streams) && c.link.usable(now, sends)
+            c.addr == addr && (load == 0 || load + sends.len() <= links.streams) && c.link.usable(sends)
         };
-        let held = self.connections.iter().filter(|(_, c)| c.server == server);
-        let found = held.clone().filter(|(_, c)| fits(c)).min_by_key(|(_, c)| c.link.load(now));
-        if let Some((&id, _)) = found {
-            return Some(id);
+        let is_silent = |c: &Connection| c.link.silent_since().is_some_and(|at| at + links.silent <= now);
+        loop {
+            let held = self.connections.iter().filter(|(_, c)| c.server == server);
+            let rank = |c: &Connection| (is_silent(c), c.link.load(now), Reverse(c.link.used()));
+            let best = held.clone().filter(|(_, c)| fits(c)).min_by_key(|(_, c)| rank(c));
+            let Some((id, (silent, load, _))) = best.map(|(&id, c)| (id, rank(c))) else { break };
+            let most = if silent { MOST_A_HOST } else { spread };
+            if load > 0 && held.count() < most && self.connections.len() < self.most {
+                break;
+            }
+            self.ready(now, id);
+            if self.connections.get(&id).is_some_and(fits) {
+                return Some(id);
+            }
         }
+        let held = self.connections.values().filter(|c| c.server == server);
         if held.count() >= MOST_A_HOST || self.connections.len() >= self.most {
             tracing::warn!("host {}: no connection to spare", server.0);
             return None;
         }
-        let (id, until, flight) = (self.next, now + self.links.dial, place.flight);
+        let (id, until) = (self.next, now + links.dial);
         self.next += 1;
         match Stream::dial(handle, addr, move |g: &mut Gatherer| g.host_ready(id)) {
             Ok(stream) => {
@@ -178,10 +210,11 @@
 
     /// Nobody waits for an attempt any more.
     pub fn abandon(&mut self, now: Micros, server: ServerId, attempt: AttemptId) {
+        let silent = self.links.silent;
         let held = self.connections.iter().filter(|(_, c)| c.server == server);
         for id in held.map(|(&id, _)| id).collect::<Vec<_>>() {
             self.with(id, |c, reports| match &mut c.link {
-                Link::Frames(link) => link.abandon(now, attempt),
+                Link::Frames(link) => link.abandon(now, silent, attempt),
                 Link::Flight(link) => link.abandon(now, attempt, reports),
             });
         }
@@ -300,14 +333,16 @@
         self.unwritten().count() + self.out.values().filter(|o| !o.given_up || o.until > now).count()
     }
 
-    /// Whether new parts may go out on this connection: it is neither silent nor in the middle of a
-    /// frame, and no part of the same name went out on it, whose late answer, or a second copy of it,
-    /// would be taken for the new one's.
-    fn usable(&self, now: Micros, sends: &[Send]) -> bool {
-        let oldest = self.out.values().map(|o| o.sent.max(self.heard)).min();
+    fn silent_since(&self) -> Option<Micros> {
+        self.out.values().filter(|out| !out.given_up).map(|out| out.sent.max(self.heard)).min()
+    }
+
+    /// Whether new parts may go out on this connection: it is not in the middle of a frame, and no part of
+    /// the same name went out on it, whose late answer, or a second copy of it, would be taken for the new
+    /// one's.
+    fn usable(&self, sends: &[Send]) -> bool {
         let known = |name: &String| self.out.contains_key(name) || self.done.contains(name);
-        oldest.is_none_or(|at| now < at + SILENT)
-            && self.partial.is_none()
+        self.partial.is_none()
             && !sends.iter().any(|send| known(&frames::part_name(send)))
             && !self
                 .unwritten()
@@ -320,16 +355,23 @@
         self.ready(now, reports)
     }
 
-    fn abandon(&mut self, now: Micros, attempt: AttemptId) -> bool {
+    /// Nobody waits for an attempt any more. Where nothing else is out and nothing has been heard since,
+    /// the connection may be dead, and goes with it; `false` then.
+    fn abandon(&mut self, now: Micros, silent: Micros, attempt: AttemptId) -> bool {
         for frame in &mut self.queue {
             if let Frame::Call(sends) = frame {
                 sends.retain(|send| send.attempt != attempt);
             }
         }
         self.queue.retain(|frame| !matches!(frame, Frame::Call(sends) if sends.is_empty()));
+        let was_silent = self.silent_since().is_some_and(|at| at + silent <= now);
         let Some((name, out)) = self.out.iter_mut().find(|(_, o)| o.attempt == attempt) else { return true };
         out.given_up = true;
-        self.queue.push_back(Frame::GiveUp(name.clone()));
+        let name = name.clone();
+        if was_silent && self.silent_since().is_none() && self.unwritten().next().is_none() {
+            return false;
+        }
+        self.queue.push_back(Frame::GiveUp(name));
         self.used = now;
         self.write(now)
     }
--- a/tests/gatherer.rs
+++ b/tests/gatherer.rs
@@ -598,3 +598,50 @@
     exit Some(0)
     ");
 }
+
+// Guards parts against what breaks beside them: while a connection is busy another is opened, so that a
+// host that cuts one cuts few.
+#[test]
+fn a_connection_that_breaks_takes_few_parts_with_it() {
+    assert_snapshot!(both("
+        send roster 0 left
+        send roster 1 left
+        send a place-hold 3000 0
+        expect part 0
+        send b place-hold 3000 1
+        expect part 1
+        close part 0
+        expect a
+        send part 1 good x
+        expect b
+    "), @r"
+    part 0
+    part 1
+    a: failed
+    b: whole 1=x
+    ");
+}
+
+// Guards new parts against a connection that has fallen silent: it ends with the last part that it was
+// silent on, and does not stay for the next.
+#[test]
+fn a_silent_connection_ends_with_its_part() {
+    assert_snapshot!(play(Wire::Http, "
+        send roster 0 left
+        send roster 1 left
+        send a search 4000 0
+        expect part 0
+        wait 400
+        close a
+        send b search 3000 1
+        expect part 1
+        expect closed
+        send part 1 good x
+        expect b
+    "), @r"
+    part 0
+    part 1
+    closed
+    b: whole 1=x
+    ");
+}
