Look for a request once more before a connection makes room for another

Seen by reading, then shown by a scenario: making room closed a connection whose request had come in the same moment, in the same batch of readiness, but was not read yet. A kept client sends it again; a first request on a new connection has failed. Checked: with the program halted while a connection is opened and an idle one sends its request, the old code closes the idle one unanswered ("raw none"). At fault: Front::has_room in src/front/http.rs. Change: let_go reads what has come first and closes only what still owes nothing. Test: a_request_that_has_come_is_answered_before_its_connection_goes.

--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -101,35 +101,47 @@
     ///
     /// At most a quarter of the places are kept idle, the newest: clients that ask once and stay would
     /// else use up what the platform's front lets through to one gatherer, long before it is full here.
-    pub fn has_room(&mut self, now: Micros) -> bool {
+    pub fn has_room(&mut self, now: Micros, core: &mut Core) -> bool {
         let idle = self.connections.iter().filter(|(_, c)| c.is_idle());
         if idle.clone().count() > self.most / 4 {
             if let Some(id) = idle.min_by_key(|(_, c)| c.since).map(|(&id, _)| id) {
-                self.connections.remove(&id);
+                self.let_go(now, id, core);
             }
         }
-        if self.connections.len() >= self.most {
-            let is_new = |c: &&Connection| c.fresh && c.since + FIRST_BYTES > now;
-            let crowd = self.connections.values().filter(is_new).count() > self.most / 4;
-            let rank = |c: &Connection| {
-                let age = now.saturating_sub(c.since);
-                match c.state {
-                    State::Lingering => Some(0),
-                    _ if !c.output.is_empty() => None,
-                    State::Idle | State::Body(..) if c.fresh && age < FIRST_BYTES => None,
-                    State::Idle | State::Body(..) if c.fresh => Some(2),
-                    State::Idle if !c.input.is_empty() => None,
-                    State::Idle if age >= KEPT => Some(1),
-                    State::Idle if !crowd => Some(3),
-                    _ => None,
-                }
-            };
-            let ranked = self.connections.iter().filter_map(|(&id, c)| Some((rank(c)?, c.since, id)));
-            if let Some((_, _, id)) = ranked.min() {
-                self.connections.remove(&id);
+        while self.connections.len() >= self.most {
+            let Some(id) = self.first_to_go(now) else { return false };
+            self.let_go(now, id, core);
+        }
+        true
+    }
+
+    fn first_to_go(&self, now: Micros) -> Option<u64> {
+        let is_new = |c: &&Connection| c.fresh && c.since + FIRST_BYTES > now;
+        let crowd = self.connections.values().filter(is_new).count() > self.most / 4;
+        let rank = |c: &Connection| {
+            let age = now.saturating_sub(c.since);
+            match c.state {
+                State::Lingering => Some(0),
+                _ if !c.output.is_empty() => None,
+                State::Idle | State::Body(..) if c.fresh && age < FIRST_BYTES => None,
+                State::Idle | State::Body(..) if c.fresh => Some(2),
+                State::Idle if !c.input.is_empty() => None,
+                State::Idle if age >= KEPT => Some(1),
+                State::Idle if !crowd => Some(3),
+                _ => None,
             }
+        };
+        let ranked = self.connections.iter().filter_map(|(&id, c)| Some((rank(c)?, c.since, id)));
+        ranked.min().map(|(_, _, id)| id)
+    }
+
+    /// Closes a connection after a last look for a request, which may have come in the same moment.
+    fn let_go(&mut self, now: Micros, id: u64, core: &mut Core) {
+        self.ready(now, id, core);
+        let owes = |c: &Connection| matches!(c.state, State::Asked) || !c.output.is_empty();
+        if !self.connections.get(&id).is_some_and(owes) {
+            self.connections.remove(&id);
         }
-        self.connections.len() < self.most
     }
 
     /// Takes an accepted connection.
--- a/src/gatherer.rs
+++ b/src/gatherer.rs
@@ -265,7 +265,9 @@
 
     /// Callback: clients wait to be accepted.
     fn http_accept(&mut self) {
-        while self.http.has_room(self.clock.now()) || self.rest("no room for another connection") {
+        while self.http.has_room(self.clock.now(), &mut self.core)
+            || self.rest("no room for another connection")
+        {
             let Some(socket) = self.accept(|g| &g.listener) else { return };
             self.http.accept(self.clock.now(), &self.handle, socket);
         }
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -259,3 +259,22 @@
     staying 8
     ");
 }
+
+// Guards a request that comes in the very moment in which its connection would make room for another: it
+// is looked for once more, and answered.
+#[test]
+fn a_request_that_has_come_is_answered_before_its_connection_goes() {
+    assert_snapshot!(play_within(Wire::Http, 64, 64, r"
+        send raw GET /nothing HTTP/1.1\r\n\r\n
+        expect raw
+        send asked 7
+        send stop
+        send crowd 1
+        send more GET /nothing HTTP/1.1\r\n\r\n
+        send cont
+        expect raw
+    "), @r"
+    raw 404
+    raw 404
+    ");
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -14,6 +14,7 @@
 //! send roster fail                discovery answers 503
 //! send raw TEXT                   a client sends these bytes, in Rust's escapes
 //! send term                       the program gets SIGTERM
+//! send stop                       the program is halted, until `send cont`
 //! send reload                     the program gets SIGHUP, with a file that names a new discovery;
 //!                                 `send reload bad`: with one that makes no sense
 //! send more TEXT                  the same client sends these, once it has its answer
@@ -289,7 +290,7 @@
             }
             ["send", "crowd", _] => {
                 let connect = |_| TcpStream::connect(self.program.http).expect("a connection");
-                self.crowd = (0..number(2)).map(connect).collect();
+                self.crowd.extend((0..number(2)).map(connect));
             }
             ["send", "reload", ..] => {
                 let fresh = plain::Roster::start();
@@ -319,6 +320,12 @@
                     self.crowd.iter().filter(|&socket| stays(socket)).count()
                 ));
             }
+            ["send", "stop"] => {
+                self.program.signal(libc::SIGSTOP);
+                let stat = format!("/proc/{}/stat", self.program.child.id());
+                while !std::fs::read_to_string(&stat).expect("a process").contains(") T ") {}
+            }
+            ["send", "cont"] => self.program.signal(libc::SIGCONT),
             ["send", "term"] => self.program.signal(libc::SIGTERM),
             ["send", name, kind, ms, ..] => {
                 let shards = &words[4..];
