Turn the repository into a workspace of nine crates, with a demo

Need: one crate of one folder could not grow; net named Gatherer in its callbacks, so seven files imported each other in a circle, and all that is to be built would have ended up in the program that must fit 32 MB.

Change: router, net, core, flight, settings, edge, the two programs and testkit, each importing only from floors below. Sockets are registered under a token and call back the loop's own data through one trait, so net and all connections know no gatherer. Files are moved, behaviour is not changed. make demo starts the program with stand-in hosts and discovery and shows a query over HTTP and one over Flight.

--- a/src/bin/mallowgauge-adapter/main.rs
+++ b/crates/adapter/src/main.rs
@@ -6,7 +6,7 @@
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-use mallowgauge::{Action, Event, Micros, QueryId, Router};
+use mallowgauge_router::{Action, Event, Micros, QueryId, Router};
 use serde_json::Value;
 use wire::{Entry, Fields, Names};
 
--- a/src/bin/mallowgauge-adapter/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use mallowgauge::settings::{small, zone, Site};
-use mallowgauge::{
+use mallowgauge_router::{
     Action, Arrival, ClassId, Event, ListNews, Micros, Outcome, PartArrival, PartId, Phase, QueryId,
     ServerEntry, ServerId, Settings, ShardId,
 };
+use mallowgauge_settings::{small, zone, Site};
 use serde_json::Value;
 
 /// Bit of `Marks` that says that a client repeats.
--- a/src/core.rs
+++ b/crates/core/src/lib.rs
@@ -7,9 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use crate::interface::*;
-use crate::rules::Router;
-use crate::settings::Site;
+use mallowgauge_router::*;
 
 /// One part as a client asks for it.
 #[derive(Clone, Debug, PartialEq)]
@@ -151,6 +149,7 @@
 pub struct Core {
     router: Router,
     classes: Vec<String>,
+    deadlines: Vec<Micros>,
     tick: Micros,
     bounds: Bounds,
     queries: BTreeMap<QueryId, Open>,
@@ -172,15 +171,22 @@
 const WEIGHT_SLACK: f64 = 0.01;
 
 impl Core {
-    /// A core with nothing open.
+    /// A core with nothing open, for classes of these names.
     ///
     /// # Errors
     /// Settings that the router rejects.
-    pub fn new(seed: u64, site: Site, bounds: Bounds) -> Result<Self, SettingsError> {
-        let tick = site.settings.tick;
+    pub fn new(
+        seed: u64,
+        settings: Settings,
+        classes: Vec<String>,
+        bounds: Bounds,
+    ) -> Result<Self, SettingsError> {
+        let tick = settings.tick;
+        let deadlines = settings.classes.iter().map(|class| class.deadline).collect();
         Ok(Self {
-            router: Router::new(seed, site.settings)?,
-            classes: site.classes,
+            router: Router::new(seed, settings)?,
+            classes,
+            deadlines,
             tick,
             bounds,
             queries: BTreeMap::new(),
@@ -206,7 +212,7 @@
 
     /// The longest that a client of a class waits.
     pub fn deadline(&self, class: ClassId) -> Micros {
-        self.router.class(class).deadline
+        self.deadlines[class.0]
     }
 
     /// How many queries are open.
--- a/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -3,11 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use mallowgauge_net::{Handle, ReadEnd, Stream, Token};
+use mallowgauge_router::*;
+use mallowgauge_settings::hosts::{parse, Host, List};
 use serde_json::Value;
 
 use crate::front::http1;
-use crate::interface::*;
-use crate::net::{Handle, ReadEnd, Stream};
+use crate::token;
 
 /// How long a watch may wait for a change.
 const WATCH_WAIT: Micros = 10_000_000;
@@ -18,65 +20,6 @@
 /// Longest answer taken, for a list of some thousands of hosts.
 const LONGEST: usize = 1024 * 1024;
 
-/// One host, as discovery tells it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Host {
-    /// Its id.
-    pub name: String,
-    /// Where it listens.
-    pub addr: Option<SocketAddr>,
-    /// Its zone.
-    pub zone: Option<String>,
-    /// Its cell.
-    pub cell: u32,
-    /// Its state.
-    pub phase: Phase,
-    /// Its last start, in Unix time.
-    pub started: Option<Micros>,
-}
-
-/// A list, or the changes of one.
-#[derive(Clone, Debug, PartialEq)]
-pub struct List {
-    /// Its version.
-    pub generation: u64,
-    /// Whether it is the whole list.
-    pub reset: bool,
-    /// The hosts.
-    pub hosts: Vec<Host>,
-}
-
-/// Reads a list.
-///
-/// # Errors
-/// Says what is wrong with it.
-pub fn parse(value: &Value) -> Result<List, String> {
-    let generation = value.get("generation").and_then(Value::as_u64).ok_or("generation is missing")?;
-    let reset = value.get("reset").and_then(Value::as_bool).ok_or("reset is missing")?;
-    let list = value.get("instances").and_then(Value::as_array).ok_or("instances is missing")?;
-    let host = |entry: &Value| {
-        let text = |key| entry.get(key).and_then(Value::as_str);
-        let name = text("instanceId").ok_or("an instance has no instanceId")?.to_owned();
-        let phase = match text("lifecycle") {
-            Some("active") => Phase::Ready,
-            Some("leaving") => Phase::Draining,
-            Some("left") => Phase::Gone,
-            _ => return Err(format!("{name}: lifecycle is none of active, leaving, left")),
-        };
-        let addr = text("hostPort").and_then(|addr| addr.parse().ok());
-        let cell = entry.get("cell").and_then(crate::settings::small);
-        if phase != Phase::Gone && (addr.is_none() || cell.is_none()) {
-            return Err(format!("{name}: hostPort or cell makes no sense"));
-        }
-        let started = entry.get("startedAtMs").and_then(Value::as_u64).filter(|&at| at > 0);
-        let started = started.map(|ms| ms.saturating_mul(1000));
-        let zone = text("zone").map(str::to_owned);
-        Ok(Host { name, addr, zone, cell: cell.unwrap_or(0), phase, started })
-    };
-    let hosts = list.iter().map(host).collect::<Result<_, _>>()?;
-    Ok(List { generation, reset, hosts })
-}
-
 /// The names of hosts, with the numbers that the router knows them by.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -210,7 +153,7 @@
         self.output = format!("GET /v1/servers{ask} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr).into_bytes();
         self.input.clear();
         if self.stream.is_none() {
-            match Stream::dial(handle, self.addr, Gatherer::discovery_ready) {
+            match Stream::dial(handle, self.addr, Token { kind: token::DISCOVERY, id: 0 }) {
                 Ok(stream) => self.stream = Some(stream),
                 Err(e) => return Some(self.fail(&e.to_string())),
             }
@@ -284,5 +227,3 @@
         news
     }
 }
-
-use crate::gatherer::Gatherer;
--- a/src/front/flight.rs
+++ b/crates/edge/src/front/flight.rs
@@ -17,16 +17,16 @@
 use prost::Message;
 use serde_json::{json, Value};
 
-use crate::core::{Answer, Ask, Asker, Core, Failure};
-use crate::flight::grpc::{self, Code, Deframer, FlightDescriptor, FlightEndpoint, FlightInfo};
-use crate::flight::grpc::{Status, Ticket};
-use crate::flight::io::{Flag, Wire};
-use crate::flight::table;
 use crate::front::http1::LONGEST_BODY;
 use crate::front::query::{self, Frame};
-use crate::gatherer::Gatherer;
-use crate::interface::Micros;
-use crate::net::{Handle, Stream};
+use crate::token;
+use crate::wire::{Flag, Wire};
+use mallowgauge_core::{Answer, Ask, Asker, Core, Failure};
+use mallowgauge_flight::grpc::{self, Code, Deframer, FlightDescriptor, FlightEndpoint, FlightInfo};
+use mallowgauge_flight::grpc::{Status, Ticket};
+use mallowgauge_flight::table;
+use mallowgauge_net::{Handle, Stream, Token};
+use mallowgauge_router::Micros;
 
 /// Most streams of a connection that are open at a time.
 const MOST_STREAMS: u32 = 16;
@@ -122,7 +122,7 @@
     pub fn accept(&mut self, now: Micros, handle: &Handle, socket: std::net::TcpStream) {
         let id = self.next;
         self.next += 1;
-        match Stream::accepted(handle, socket, move |g: &mut Gatherer| g.flight_ready(id)) {
+        match Stream::accepted(handle, socket, Token { kind: token::FLIGHT, id }) {
             Ok(stream) => {
                 let (wire, _) = Wire::new(Rc::new(stream));
                 let mut builder = server::Builder::new();
--- a/src/front/http.rs
+++ b/crates/edge/src/front/http.rs
@@ -4,13 +4,13 @@
 
 use serde_json::{json, Value};
 
-use crate::core::{Answer, Asker, Core, Failure};
 use crate::front::http1::{self, Bad, Body, Head};
 use crate::front::query::{self, Frame};
-use crate::gatherer::Gatherer;
-use crate::interface::Micros;
 use crate::lifecycle::Phase;
-use crate::net::{Handle, ReadEnd, Stream};
+use crate::token;
+use mallowgauge_core::{Answer, Asker, Core, Failure};
+use mallowgauge_net::{Handle, ReadEnd, Stream, Token};
+use mallowgauge_router::Micros;
 
 /// Where the platform's front asks whether the program takes queries.
 const HEALTH: &str = "/healthz";
@@ -148,7 +148,7 @@
     pub fn accept(&mut self, now: Micros, handle: &Handle, socket: std::net::TcpStream) {
         let id = self.next;
         self.next += 1;
-        match Stream::accepted(handle, socket, move |g: &mut Gatherer| g.http_ready(id)) {
+        match Stream::accepted(handle, socket, Token { kind: token::HTTP, id }) {
             Ok(stream) => {
                 let (input, output) = (Vec::new(), Vec::new());
                 let state = State::Idle;
@@ -438,7 +438,7 @@
     }
 }
 
-fn ask(head: &Head, body: &[u8], core: &Core) -> Result<crate::core::Ask, &'static str> {
+fn ask(head: &Head, body: &[u8], core: &Core) -> Result<mallowgauge_core::Ask, &'static str> {
     let req_id = head.header("req-id").filter(|id| query::is_id(id)).ok_or("Req-Id is missing or odd")?;
     let class = head.header("req-kind").and_then(|name| core.class(name)).ok_or("the class is unknown")?;
     let digits = head.header("req-deadline-ms").filter(|ms| ms.bytes().all(|b| b.is_ascii_digit()));
--- a/src/front/query.rs
+++ b/crates/edge/src/front/query.rs
@@ -4,8 +4,8 @@
 
 use serde_json::{json, Value};
 
-use crate::core::{Ask, AskPart};
-use crate::interface::{ClassId, Micros, ShardId};
+use mallowgauge_core::{Ask, AskPart};
+use mallowgauge_router::{ClassId, Micros, ShardId};
 
 /// What stands beside the body: in headers on one wire, in the command on the other.
 #[derive(Clone, Debug)]
@@ -37,7 +37,8 @@
     let ranges = body.get("ranges").and_then(Value::as_array).ok_or("ranges is missing")?;
     let mut hint = Some(0);
     let part = |value: &Value| {
-        let shard = value.get("range").and_then(crate::settings::small).ok_or("a range has no number")?;
+        let shard =
+            value.get("range").and_then(mallowgauge_settings::small).ok_or("a range has no number")?;
         let weight = value.get("portion").and_then(Value::as_f64).ok_or("a range has no portion")?;
         let price = value.get("price").and_then(Value::as_u64);
         hint = hint.zip(price).map(|(sum, price): (Micros, _)| sum.saturating_add(price));
--- a/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -5,15 +5,17 @@
 use calloop::signals::{Event, Signal, Signals};
 use calloop::EventLoop;
 
-use crate::config::Config;
-use crate::core::{Asker, Core, Effect};
-use crate::discovery::{self, Discovery, List, News, Roster};
+use crate::discovery::{Discovery, News, Roster};
 use crate::front::{flight, http};
-use crate::interface::{ListNews, Micros, Phase as HostPhase, ServerEntry};
 use crate::lifecycle::{Lifecycle, Phase};
-use crate::net::{Clock, Handle, Listener};
-use crate::settings::zone;
+use crate::token;
 use crate::upstream::{Pool, Report};
+use mallowgauge_core::{Asker, Core, Effect};
+use mallowgauge_net::{Clock, Handle, Listener, Owner, Token};
+use mallowgauge_router::{ListNews, Micros, Phase as HostPhase, ServerEntry};
+use mallowgauge_settings::hosts::{parse, List};
+use mallowgauge_settings::zone;
+use mallowgauge_settings::Config;
 
 /// Descriptors kept for what is neither a client nor a host: the loop, discovery, listeners, the log.
 const RESERVED: usize = 16;
@@ -76,12 +78,13 @@
         let room = Room::of(&config);
         let clock = Clock::start();
         let zones = config.site.zones.clone();
-        let core = Core::new(config.seed, config.site, config.bounds).map_err(|e| e.to_string())?;
-        let known = discovery::parse(&config.known).map_err(|e| format!("known: {e}"))?;
-        let listener = Listener::bind(&handle, config.listen, Gatherer::http_accept)
+        let core = Core::new(config.seed, config.site.settings, config.site.classes, config.bounds)
+            .map_err(|e| e.to_string())?;
+        let known = parse(&config.known).map_err(|e| format!("known: {e}"))?;
+        let listener = Listener::bind(&handle, config.listen, Token { kind: token::HTTP_LISTENER, id: 0 })
             .map_err(|e| format!("{}: {e}", config.listen))?;
-        let bind =
-            |addr| Listener::bind(&handle, addr, Gatherer::flight_accept).map_err(|e| format!("{addr}: {e}"));
+        let token = Token { kind: token::FLIGHT_LISTENER, id: 0 };
+        let bind = |addr| Listener::bind(&handle, addr, token).map_err(|e| format!("{addr}: {e}"));
         let flight_listener = config.flight.listen.map(bind).transpose()?;
         let mut gatherer = Self {
             clock,
@@ -125,7 +128,7 @@
             _ => gatherer.terminate(),
         };
         events.handle().insert_source(signals, told).map_err(|e| e.to_string())?;
-        let mut gatherer = Self::start(Box::new(load), events.handle())?;
+        let mut gatherer = Self::start(Box::new(load), Handle::new(events.handle()))?;
         gatherer.lifecycle.ready();
         while gatherer.step() != Phase::Stopped {
             let wait = gatherer.due().map(|at| at.saturating_sub(gatherer.clock.now()));
@@ -263,7 +266,7 @@
         self.flight.drain(now, &mut self.core);
     }
 
-    /// Callback: clients wait to be accepted.
+    /// Clients wait to be accepted.
     fn http_accept(&mut self) {
         while self.http.has_room(self.clock.now(), &mut self.core)
             || self.rest("no room for another connection")
@@ -273,7 +276,7 @@
         }
     }
 
-    /// Callback: Flight clients wait to be accepted.
+    /// Flight clients wait to be accepted.
     fn flight_accept(&mut self) {
         if self.flight_listener.is_none() {
             return;
@@ -309,26 +312,22 @@
         }
         false
     }
+}
 
-    /// Callback: a client's connection is ready.
-    pub fn http_ready(&mut self, id: u64) {
-        self.http.ready(self.clock.now(), id, &mut self.core);
-    }
-
-    /// Callback: a Flight client's connection is ready.
-    pub fn flight_ready(&mut self, id: u64) {
-        self.flight.ready(self.clock.now(), id, &mut self.core);
-    }
-
-    /// Callback: a host's connection is ready.
-    pub fn host_ready(&mut self, id: u64) {
-        self.pool.ready(self.clock.now(), id);
-    }
-
-    /// Callback: the connection to discovery is ready.
-    pub fn discovery_ready(&mut self) {
-        for news in self.discovery.ready(self.clock.now(), &self.handle) {
-            self.news(news);
+impl Owner for Gatherer {
+    fn ready(&mut self, Token { kind, id }: Token) {
+        let now = self.clock.now();
+        match kind {
+            token::HTTP_LISTENER => self.http_accept(),
+            token::FLIGHT_LISTENER => self.flight_accept(),
+            token::HTTP => self.http.ready(now, id, &mut self.core),
+            token::FLIGHT => self.flight.ready(now, id, &mut self.core),
+            token::HOST => self.pool.ready(now, id),
+            _ => {
+                for news in self.discovery.ready(now, &self.handle) {
+                    self.news(news);
+                }
+            }
         }
     }
 }
--- a/src/lifecycle.rs
+++ b/crates/edge/src/lifecycle.rs
@@ -1,6 +1,6 @@
 //! The phases of the program, from start to exit.
 
-use crate::interface::Micros;
+use mallowgauge_router::Micros;
 
 /// Where the program is between start and exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/upstream/flight.rs
+++ b/crates/edge/src/upstream/flight.rs
@@ -17,13 +17,13 @@
 use prost::Message;
 use serde_json::json;
 
-use crate::core::{AttemptId, Send};
-use crate::flight::grpc::{self, Code, Deframer, FlightData, Ticket};
-use crate::flight::io::{Flag, Wire};
-use crate::flight::table::{Reader, Row};
-use crate::interface::*;
-use crate::net::Stream;
 use crate::upstream::{Report, SLOWEST_FRAME};
+use crate::wire::{Flag, Wire};
+use mallowgauge_core::{AttemptId, Send};
+use mallowgauge_flight::grpc::{self, Code, Deframer, FlightData, Ticket};
+use mallowgauge_flight::table::{Reader, Row};
+use mallowgauge_net::Stream;
+use mallowgauge_router::*;
 
 /// Longest answer to a part that is taken from a host.
 const LONGEST: usize = 256 * 1024;
--- a/src/upstream/frames.rs
+++ b/crates/edge/src/upstream/frames.rs
@@ -2,8 +2,8 @@
 
 use std::fmt::Write;
 
-use crate::core::Send;
-use crate::interface::Outcome;
+use mallowgauge_core::Send;
+use mallowgauge_router::Outcome;
 
 /// Longest frame taken from a host: a value has to fit into a body of 64 KiB.
 pub const LONGEST: usize = 65 * 1024;
--- a/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -8,8 +8,8 @@
 
 use std::rc::Rc;
 
-use crate::core::AttemptId;
-use crate::interface::{Micros, Outcome, ServerId};
+use mallowgauge_core::AttemptId;
+use mallowgauge_router::{Micros, Outcome, ServerId};
 
 /// A frame or message that has begun to come has to be whole within this time.
 const SLOWEST_FRAME: Micros = 500_000;
--- a/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -4,15 +4,15 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-use crate::config::{Flight, Links};
-use crate::core::{AttemptId, Send};
-use crate::discovery::Host;
-use crate::gatherer::Gatherer;
-use crate::interface::*;
-use crate::net::{Handle, ReadEnd, Stream};
+use crate::token;
 use crate::upstream::flight::FlightLink;
 use crate::upstream::frames::{self, Said};
 use crate::upstream::{Report, SLOWEST_FRAME};
+use mallowgauge_core::{AttemptId, Send};
+use mallowgauge_net::{Handle, ReadEnd, Stream, Token};
+use mallowgauge_router::*;
+use mallowgauge_settings::hosts::Host;
+use mallowgauge_settings::{Flight, Links};
 
 /// A connection is closed after this share of the time after which hosts close it.
 const IDLE_SHARE: f64 = 0.8;
@@ -190,7 +190,7 @@
         }
         let (id, until) = (self.next, now + links.dial);
         self.next += 1;
-        match Stream::dial(handle, addr, move |g: &mut Gatherer| g.host_ready(id)) {
+        match Stream::dial(handle, addr, Token { kind: token::HOST, id }) {
             Ok(stream) => {
                 tracing::debug!("host {}: dialling {addr}", server.0);
                 let link = if flight {
--- a/src/flight/io.rs
+++ b/crates/edge/src/wire.rs
@@ -10,7 +10,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::net::Stream;
+use mallowgauge_net::Stream;
 
 /// Says whether `h2` wants to be polled again.
 #[derive(Debug, Default)]
--- a/tests/core.rs
+++ b/crates/edge/tests/parts.rs
@@ -1,18 +1,17 @@
 //! The core alone, on a clock of its own.
 
-mod scenario;
-
 use bytes::Bytes;
 use insta::assert_snapshot;
-use mallowgauge::discovery::{parse, Roster};
-use mallowgauge::flight::grpc::{Deframer, FlightData};
-use mallowgauge::flight::table::{answer, Reader};
-use mallowgauge::front::http1;
-use mallowgauge::lifecycle::Lifecycle;
-use mallowgauge::upstream::frames;
-use mallowgauge::ShardId;
+use mallowgauge_edge::discovery::Roster;
+use mallowgauge_edge::front::http1;
+use mallowgauge_edge::lifecycle::Lifecycle;
+use mallowgauge_edge::upstream::frames;
+use mallowgauge_flight::grpc::{Deframer, FlightData};
+use mallowgauge_flight::table::{answer, Reader};
+use mallowgauge_router::ShardId;
+use mallowgauge_settings::hosts::parse;
+use mallowgauge_testkit::inner::inside;
 use prost::Message;
-use scenario::inner::inside;
 use serde_json::{json, Value};
 
 // Guards the cost of calls: what a turn sends to one host is one call, for several queries too.
@@ -206,7 +205,7 @@
         {"instanceId": "s-b", "hostPort": "127.0.0.1:7071", "cell": 4, "lifecycle": "leaving",
          "startedAtMs": 0},
         {"instanceId": "s-c", "lifecycle": "left"}]});
-    let list = mallowgauge::discovery::parse(&list).expect("a list");
+    let list = mallowgauge_settings::hosts::parse(&list).expect("a list");
     let hosts = list.hosts.iter().map(|h| format!("{} {} {:?} {:?}", h.name, h.cell, h.phase, h.started));
     assert_snapshot!(hosts.collect::<Vec<_>>().join("\n"), @r"
     s-a 3 Ready Some(1700000000123000)
--- a/src/flight/grpc.rs
+++ b/crates/flight/src/grpc.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue};
 use prost::Message;
 
-use crate::interface::Micros;
+use mallowgauge_router::Micros;
 
 /// Where the methods of Flight live.
 pub const SERVICE: &str = "/arrow.flight.protocol.FlightService/";
--- a/src/flight/table.rs
+++ b/crates/flight/src/table.rs
@@ -14,8 +14,8 @@
 use arrow_schema::{ArrowError, DataType, Field, Schema};
 use bytes::Bytes;
 
-use crate::flight::grpc::{self, FlightData};
-use crate::interface::{Outcome, ShardId};
+use crate::grpc::{self, FlightData};
+use mallowgauge_router::{Outcome, ShardId};
 
 /// Bytes of values after which a new record batch is begun.
 const BATCH: usize = 256 * 1024;
--- a/src/main.rs
+++ b/crates/mallowgauge/src/main.rs
@@ -2,8 +2,8 @@
 
 use std::process::ExitCode;
 
-use mallowgauge::config::Config;
-use mallowgauge::gatherer::Gatherer;
+use mallowgauge_edge::gatherer::Gatherer;
+use mallowgauge_settings::Config;
 
 fn run() -> Result<(), String> {
     let mut arguments = std::env::args().skip(1);
--- a/tests/gatherer.rs
+++ b/crates/mallowgauge/tests/gatherer.rs
@@ -1,9 +1,7 @@
 //! The failure suite: each scenario is played on both wires, and both have to tell the same story.
 
-mod scenario;
-
 use insta::assert_snapshot;
-use scenario::{both, play, Wire};
+use mallowgauge_testkit::{both, play, Wire};
 
 #[test]
 fn a_query_is_answered_whole() {
--- a/tests/promises.rs
+++ b/crates/mallowgauge/tests/promises.rs
@@ -1,7 +1,5 @@
 //! What the documents promise, held against what the program does.
 
-mod scenario;
-
 use std::collections::BTreeSet;
 use std::net::TcpStream;
 use std::path::Path;
@@ -9,15 +7,16 @@
 use std::sync::mpsc::channel;
 
 use insta::assert_snapshot;
-use mallowgauge::core::{AttemptId, Send};
-use mallowgauge::upstream::frames;
-use mallowgauge::{PartId, ShardId};
+use mallowgauge_core::{AttemptId, Send};
+use mallowgauge_edge::upstream::frames;
+use mallowgauge_router::{PartId, ShardId};
+use mallowgauge_testkit::{config, plain, play_within, spawn, Event, Program, Query, Reply, Wire, HOSTS};
 use regex::Regex;
-use scenario::{config, plain, play_within, spawn, Event, Program, Query, Reply, Wire, HOSTS};
 use serde_json::{json, Value};
 
 fn text(path: &str) -> String {
-    std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join(path)).expect("a file")
+    std::fs::read_to_string(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../..")).join(path))
+        .expect("a file")
 }
 
 fn document(path: &str) -> Value {
@@ -142,7 +141,10 @@
     let macros = Regex::new(r#"tracing::(info|warn|error)!\(\s*"([^"]*)""#).expect("a pattern");
     let holes = Regex::new(r"\{[^}]*\}").expect("a pattern");
     let mut written = BTreeSet::new();
-    let mut folders = vec![Path::new(env!("CARGO_MANIFEST_DIR")).join("src")];
+    // The programs that serve; what only tests and tools write is not on the page.
+    let parts = ["mallowgauge", "edge", "core", "net", "settings", "flight"];
+    let folder = |part: &&str| Path::new(env!("CARGO_MANIFEST_DIR")).join("..").join(part).join("src");
+    let mut folders: Vec<_> = parts.iter().map(folder).collect();
     while let Some(folder) = folders.pop() {
         for entry in std::fs::read_dir(folder).expect("a folder") {
             let path = entry.expect("an entry").path();
--- a/src/net.rs
+++ b/crates/net/src/lib.rs
@@ -1,20 +1,74 @@
-//! What every connection stands on: a non-blocking socket that calls back into the [`Gatherer`].
+//! What every connection stands on: a non-blocking socket in the event loop, and the clock.
+//!
+//! A socket is registered under a [`Token`]; when it is ready, the loop's own data hears so by that token
+//! ([`Owner::ready`]). Nothing here knows what the token stands for.
 
 use std::cell::Cell;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::rc::Rc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, LoopHandle, Mode, PostAction};
 
-use crate::gatherer::Gatherer;
-use crate::interface::Micros;
+/// Microseconds; of the clock, those since the beginning of Unix time.
+pub type Micros = u64;
 
-/// The event loop, as connections see it.
-pub type Handle = LoopHandle<'static, Gatherer>;
+/// What a socket is registered under: a kind that its owner gave out, and a number within that kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Token {
+    /// Which part of the owner looks after it.
+    pub kind: u8,
+    /// Which of that part's sockets it is.
+    pub id: u64,
+}
+
+/// Who is called back: the event loop's own data.
+pub trait Owner: 'static {
+    /// The socket under this token is newly ready; what is ready has to be used up (edge-triggered).
+    fn ready(&mut self, token: Token);
+}
+
+/// The event loop as connections see it, whoever owns it.
+#[derive(Clone)]
+pub struct Handle(Rc<dyn Register>);
+
+impl Handle {
+    /// The loop with that handle.
+    #[must_use]
+    pub fn new<D: Owner>(handle: LoopHandle<'static, D>) -> Self {
+        Self(Rc::new(handle))
+    }
+}
+
+/// Takes a socket into a loop and gives back what takes it out again.
+trait Register {
+    fn watch(&self, fd: Rc<dyn AsFd>, token: Token) -> io::Result<Box<dyn FnOnce()>>;
+}
+
+impl<D: Owner> Register for LoopHandle<'static, D> {
+    fn watch(&self, fd: Rc<dyn AsFd>, token: Token) -> io::Result<Box<dyn FnOnce()>> {
+        let source = Generic::new(Fd(fd), Interest::BOTH, Mode::Edge);
+        let ready = move |_, _: &mut _, owner: &mut D| {
+            owner.ready(token);
+            Ok(PostAction::Continue)
+        };
+        let place = self.insert_source(source, ready).map_err(|e| io::Error::other(e.error))?;
+        let handle = self.clone();
+        Ok(Box::new(move || handle.remove(place)))
+    }
+}
+
+/// A shared descriptor, as the loop wants it.
+struct Fd(Rc<dyn AsFd>);
+
+impl AsFd for Fd {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        (*self.0).as_fd()
+    }
+}
 
 /// The clock: Unix time in microseconds that never runs backwards.
 #[derive(Clone, Copy, Debug)]
@@ -39,32 +93,20 @@
 }
 
 /// A socket's place in the event loop, given up when dropped.
-struct Watch {
-    handle: Handle,
-    token: RegistrationToken,
+struct Watch(Option<Box<dyn FnOnce()>>);
+
+impl Watch {
+    fn new(handle: &Handle, fd: Rc<dyn AsFd>, token: Token) -> io::Result<Self> {
+        Ok(Self(Some(handle.0.watch(fd, token)?)))
+    }
 }
 
 impl Drop for Watch {
     fn drop(&mut self) {
-        self.handle.remove(self.token);
+        self.0.take().into_iter().for_each(|leave| leave());
     }
 }
 
-/// Calls back at each new readiness; what is ready has to be used up (edge-triggered).
-fn watch<F: AsFd + 'static>(
-    handle: &Handle,
-    fd: F,
-    mut callback: impl FnMut(&mut Gatherer) + 'static,
-) -> io::Result<Watch> {
-    let source = Generic::new(fd, Interest::BOTH, Mode::Edge);
-    let ready = move |_, _: &mut _, gatherer: &mut Gatherer| {
-        callback(gatherer);
-        Ok(PostAction::Continue)
-    };
-    let token = handle.insert_source(source, ready).map_err(|e| io::Error::other(e.error))?;
-    Ok(Watch { handle: handle.clone(), token })
-}
-
 /// Clients that wait to be accepted; one more than that would have to dial again a second later.
 const BACKLOG: i32 = 1024;
 
@@ -79,18 +121,14 @@
     ///
     /// # Errors
     /// The address cannot be bound.
-    pub fn bind(
-        handle: &Handle,
-        addr: SocketAddr,
-        callback: impl FnMut(&mut Gatherer) + 'static,
-    ) -> io::Result<Self> {
+    pub fn bind(handle: &Handle, addr: SocketAddr, token: Token) -> io::Result<Self> {
         let socket = socket2::Socket::new(socket2::Domain::for_address(addr), socket2::Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&addr.into())?;
         socket.listen(BACKLOG)?;
         let socket = Rc::new(TcpListener::from(socket));
-        let watch = watch(handle, Rc::clone(&socket), callback)?;
+        let watch = Watch::new(handle, socket.clone(), token)?;
         Ok(Self { socket, _watch: watch })
     }
 
@@ -144,15 +182,11 @@
     ///
     /// # Errors
     /// As the system says.
-    pub fn accepted(
-        handle: &Handle,
-        socket: TcpStream,
-        callback: impl FnMut(&mut Gatherer) + 'static,
-    ) -> io::Result<Self> {
+    pub fn accepted(handle: &Handle, socket: TcpStream, token: Token) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         socket.set_nodelay(true)?;
         let socket = Rc::new(socket);
-        let watch = watch(handle, Rc::clone(&socket), callback)?;
+        let watch = Watch::new(handle, socket.clone(), token)?;
         Ok(Self { socket, broken: Cell::new(false), _watch: watch })
     }
 
@@ -160,11 +194,7 @@
     ///
     /// # Errors
     /// As the system says.
-    pub fn dial(
-        handle: &Handle,
-        addr: SocketAddr,
-        callback: impl FnMut(&mut Gatherer) + 'static,
-    ) -> io::Result<Self> {
+    pub fn dial(handle: &Handle, addr: SocketAddr, token: Token) -> io::Result<Self> {
         let socket = socket2::Socket::new(socket2::Domain::for_address(addr), socket2::Type::STREAM, None)?;
         socket.set_nonblocking(true)?;
         match socket.connect(&addr.into()) {
@@ -173,7 +203,7 @@
             Err(e) if e.raw_os_error() == Some(libc::EINPROGRESS) => {}
             Err(e) => return Err(e),
         }
-        Self::accepted(handle, socket.into(), callback)
+        Self::accepted(handle, socket.into(), token)
     }
 
     /// Whether the connection is up; `None` while it is under way.
--- a/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,7 +6,7 @@
 //! each part to the replica with the fewest of its own parts out.
 //!
 //! ```
-//! use mallowgauge::*;
+//! use mallowgauge_router::*;
 //!
 //! let class = Class {
 //!     aim: 200_000, aim_stretch: 0.0, deadline: 600_000, late_worth: 0.1, effect: Effect::Safe,
@@ -49,21 +49,9 @@
 //! assert_eq!(router.drop_rate(ClassId(0)), Some(0.0));
 //! # Ok::<(), SettingsError>(())
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
-pub mod config;
-pub mod core;
-pub mod discovery;
-pub mod flight;
-pub mod front;
-pub mod gatherer;
-pub mod interface;
-pub mod lifecycle;
-pub mod net;
+mod interface;
 mod rules;
-pub mod settings;
-pub mod upstream;
 
 pub use interface::*;
 pub use rules::Router;
--- a/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -263,7 +263,7 @@
         query.parts.iter().filter_map(|id| self.parts.get(id))
     }
 
-    pub(crate) fn class(&self, class: ClassId) -> &Class {
+    fn class(&self, class: ClassId) -> &Class {
         &self.settings.classes[class.0]
     }
 
--- a/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use mallowgauge::*;
+use mallowgauge_router::*;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/drive.rs
+++ b/crates/router/tests/drive.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use mallowgauge::*;
+use mallowgauge_router::*;
 
 struct PartSeen {
     query: u128,
--- a/tests/rules.rs
+++ b/crates/router/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use mallowgauge::*;
+use mallowgauge_router::*;
 
 fn safe() -> Settings {
     settings(vec![class(Effect::Safe)])
--- a/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -5,9 +5,9 @@
 
 use serde_json::Value;
 
-use crate::core::Bounds;
-use crate::interface::Micros;
-use crate::settings::{Section, Site};
+use crate::site::{Section, Site};
+use mallowgauge_core::Bounds;
+use mallowgauge_router::Micros;
 
 /// Figures for connections.
 #[derive(Clone, Copy, Debug)]
@@ -118,7 +118,7 @@
         let aim = site.settings.classes.iter().map(|class| class.aim).min().unwrap_or_default();
         let seed = all.get("seed").and_then(Value::as_str).ok_or("seed is missing")?;
         let known = all.get("known").ok_or("known is missing")?;
-        crate::discovery::parse(known).map_err(|e| format!("known: {e}"))?;
+        crate::hosts::parse(known).map_err(|e| format!("known: {e}"))?;
         Ok(Self {
             name: text("name", "RELAY_NAME")?,
             listen: address(&text("listen", "RELAY_LISTEN")?, "listen")?,
--- a/src/settings.rs
+++ b/crates/settings/src/site.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use crate::interface::*;
+use mallowgauge_router::*;
 
 /// What the settings say of the site, with the names that go with the router's numbers.
 pub struct Site {
--- /dev/null
+++ b/crates/testkit/src/demo.rs
@@ -0,0 +1,65 @@
+//! `make demo`: the program with stand-in hosts and stand-in discovery on loopback. It asks one query over
+//! HTTP and one over Flight, and prints what each side saw.
+
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+use mallowgauge_testkit::{config, flight, plain, Event, Program, Query, Reply, HOSTS};
+use serde_json::json;
+
+/// Answers every part until the client's answer has come.
+fn settle(events: &Receiver<Event>) -> String {
+    loop {
+        match events.recv_timeout(Duration::from_secs(20)).expect("the program answers") {
+            Event::Part(host, shard, reply) => {
+                println!("  host s-{host} has got the part for shard {shard} and answers it");
+                reply(Reply::End("good".to_owned(), format!("listing-{shard}")));
+            }
+            Event::Answer(_, text) => return text,
+            _ => {}
+        }
+    }
+}
+
+fn main() {
+    let (sender, events) = channel();
+    let frames: Vec<_> = (0..HOSTS - 1).map(|i| plain::host(i, sender.clone(), false)).collect();
+    // The last host offers Flight, the others speak the platform's frames.
+    let last = flight::host(HOSTS - 1, sender.clone(), std::sync::Arc::default());
+    let hosts: Vec<_> = frames.into_iter().chain([last]).collect();
+    let roster = plain::Roster::start();
+    let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": [format!("s-{}", HOSTS - 1)]}});
+    let program = Program::start(&config(&hosts, roster.addr), &operator, 1024);
+    println!(
+        "the program is process {}: HTTP on {}, Flight on {}",
+        program.child.id(),
+        program.http,
+        program.flight
+    );
+    println!("stand-ins: discovery on {}, hosts on {hosts:?}", roster.addr);
+
+    let query = |id: &str| Query {
+        id: id.to_owned(),
+        kind: "search".to_owned(),
+        ms: 3000,
+        body: json!({"ranges": [{"range": 0, "portion": 0.25}, {"range": 1, "portion": 0.25},
+                                {"range": 2, "portion": 0.25}, {"range": 3, "portion": 0.25}],
+                     "predicate": "c41e77d0"}),
+    };
+    let answer = |sender: &Sender<Event>| {
+        let sender = sender.clone();
+        move |text| drop(sender.send(Event::Answer("client".to_owned(), text)))
+    };
+    println!("\na search of four parts over HTTP:\n  {}", query("demo-http").body);
+    let _client = plain::ask(program.http, query("demo-http"), answer(&sender));
+    println!("  answer: {}", settle(&events));
+    println!("\nthe same over Arrow Flight, GetFlightInfo and DoGet:");
+    let _client = flight::ask(program.flight, query("demo-flight"), answer(&sender));
+    println!("  answer: {}", settle(&events));
+
+    program.signal(libc::SIGTERM);
+    println!("\nlast lines of the program's log:");
+    std::thread::sleep(Duration::from_millis(1500));
+    let log = program.log.lock().expect("a sound lock");
+    log.iter().rev().take(4).rev().for_each(|line| println!("  {line}"));
+}
--- a/tests/scenario/flight.rs
+++ b/crates/testkit/src/flight.rs
@@ -12,7 +12,7 @@
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
 use http::{HeaderMap, Request, Response};
-use mallowgauge::flight::grpc::{
+use mallowgauge_flight::grpc::{
     frame, status_of, write_timeout, Deframer, FlightData, FlightDescriptor, FlightInfo, Ticket, SERVICE,
 };
 use prost::Message;
--- a/tests/scenario/inner.rs
+++ b/crates/testkit/src/inner.rs
@@ -3,9 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use mallowgauge::core::{Answer, Ask, AskPart, Asker, AttemptId, Bounds, Core, Effect};
-use mallowgauge::settings::Site;
-use mallowgauge::{ListNews, Outcome, Phase, ServerEntry, ServerId, ShardId};
+use mallowgauge_core::{Answer, Ask, AskPart, Asker, AttemptId, Bounds, Core, Effect};
+use mallowgauge_router::{ListNews, Outcome, Phase, ServerEntry, ServerId, ShardId};
+use mallowgauge_settings::Site;
 
 use super::{settings, transcript, HOSTS};
 
@@ -103,7 +103,8 @@
 /// Plays a scenario against the core.
 pub fn inside(scenario: &str) -> String {
     let site = Site::read(&settings()).expect("settings");
-    let core = Core::new(7, site, Bounds { max_open: 20, shards: 10 }).expect("sound settings");
+    let core = Core::new(7, site.settings, site.classes, Bounds { max_open: 20, shards: 10 })
+        .expect("sound settings");
     let (clients, out, seen) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
     let mut inner = Inner { core, now: START, clients, out, seen };
     let entry = |i: usize| {
--- a/tests/scenario/mod.rs
+++ b/crates/testkit/src/lib.rs
@@ -36,7 +36,7 @@
 //! close NAME                      the client goes away; `crowd` for the crowd
 //! wait MS
 //! ```
-#![allow(dead_code)]
+#![allow(missing_docs)] // The language above is the documentation
 
 pub mod flight;
 pub mod inner;
@@ -134,14 +134,14 @@
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let file = |what: &str, value: &Value| {
         let name = format!("mallowgauge-{}-{number}-{what}.json", std::process::id());
-        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let path = std::env::temp_dir().join(name);
         std::fs::write(&path, value.to_string()).expect("a file in the temporary folder");
         path
     };
     let config = file("config", config);
     let child = Command::new("sh")
         .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\" \"$1\"")])
-        .arg(env!("CARGO_BIN_EXE_mallowgauge"))
+        .arg(program())
         .arg(file("operator", operator))
         .env("RELAY_CONFIG", &config)
         .stdout(Stdio::piped())
@@ -150,6 +150,17 @@
     (child, config)
 }
 
+/// The program under test: `MALLOWGAUGE` names it, or else it stands beside or above this one.
+pub fn program() -> PathBuf {
+    let named = std::env::var_os("MALLOWGAUGE").map(PathBuf::from);
+    named.unwrap_or_else(|| {
+        let this = std::env::current_exe().expect("a path");
+        let name = "mallowgauge";
+        let mut places = this.ancestors().skip(1).take(2).map(|folder| folder.join(name));
+        places.find(|path| path.is_file()).expect("the program is built")
+    })
+}
+
 impl Program {
     pub fn start(config: &Value, operator: &Value, descriptors: u32) -> Self {
         let (mut child, config) = spawn(config, operator, descriptors);
