--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,241 @@
+//! The memory for tables: which host may send how much more, and who gives way when all of it is taken.
+//!
+//! Every byte that a host may still send or has sent is drawn from one budget. A stream opens with a first
+//! window that is always there (it is set aside for as many streams as may be open); for all that comes
+//! beyond, [`Budget::want`] says whether the host may go on. A host that may not is told nothing: its window
+//! stays shut, and HTTP/2 makes it wait. Bytes that readers have not taken yet stay drawn ([`Lease`]), so a
+//! slow reader shuts the windows of hosts.
+//!
+//! Two rules keep this from standing still. A call has a bound of its own. And once the whole budget is held
+//! by calls that all wait for more, with nothing on its way to a reader, the youngest of them gives way
+//! ([`Budget::victim`]): the oldest then always comes to its end.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::rc::Rc;
+
+/// A stream of a host, by a number that its opener gave out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StreamId(pub u64);
+
+/// A query, by a number that grows with each: the lower, the older.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId(pub u128);
+
+/// The bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Bytes for all tables together, beyond first windows.
+    pub total: usize,
+    /// Bytes for the tables of one query.
+    pub most_a_call: usize,
+}
+
+/// Whether a host may send more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grant {
+    /// It may, at once.
+    Now,
+    /// Not yet; [`Budget::granted`] says when.
+    Wait,
+    /// Never: the query's tables would outgrow their bound.
+    Over,
+}
+
+#[derive(Debug)]
+struct Stream {
+    call: CallId,
+    /// Drawn for it beyond its first window.
+    drawn: usize,
+    /// What it waits for.
+    wants: usize,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    streams: BTreeMap<StreamId, Stream>,
+    /// Drawn by each query: its open streams, and its tables that are whole.
+    calls: BTreeMap<CallId, usize>,
+    drawn: usize,
+    /// Of what is drawn, so much belongs to whole tables: it comes back as readers take them.
+    leased: usize,
+    peak: usize,
+}
+
+impl State {
+    fn draw(&mut self, call: CallId, bytes: usize) {
+        if bytes > 0 {
+            *self.calls.entry(call).or_default() += bytes;
+            self.drawn += bytes;
+            self.peak = self.peak.max(self.drawn);
+        }
+    }
+
+    fn give_back(&mut self, call: CallId, bytes: usize) {
+        self.drawn -= bytes;
+        if let Some(held) = self.calls.get_mut(&call) {
+            *held -= bytes;
+            if *held == 0 {
+                self.calls.remove(&call);
+            }
+        }
+    }
+}
+
+/// The budget. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    bounds: Bounds,
+    state: Rc<RefCell<State>>,
+}
+
+impl Budget {
+    /// A budget of which nothing is drawn.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Self {
+        Self { bounds, state: Rc::default() }
+    }
+
+    /// A stream is opened for a query; its first window is not drawn from here.
+    pub fn open(&self, stream: StreamId, call: CallId) {
+        self.state.borrow_mut().streams.insert(stream, Stream { call, drawn: 0, wants: 0 });
+    }
+
+    /// The host of this stream could send so many bytes more.
+    pub fn want(&self, stream: StreamId, bytes: usize) -> Grant {
+        let mut state = self.state.borrow_mut();
+        let Some(Stream { call, wants, .. }) = state.streams.get(&stream) else { return Grant::Over };
+        let (call, bytes) = (*call, bytes + *wants);
+        let held = state.calls.get(&call).copied().unwrap_or(0);
+        let older_waits = state.streams.values().any(|s| s.wants > 0 && s.call < call);
+        let grant = if held + bytes > self.bounds.most_a_call {
+            Grant::Over
+        } else if older_waits || state.drawn + bytes > self.bounds.total {
+            Grant::Wait
+        } else {
+            Grant::Now
+        };
+        if grant == Grant::Now {
+            state.draw(call, bytes);
+        }
+        if let Some(open) = state.streams.get_mut(&stream) {
+            open.wants = if grant == Grant::Wait { bytes } else { 0 };
+            open.drawn += if grant == Grant::Now { bytes } else { 0 };
+        }
+        grant
+    }
+
+    /// The streams that may go on now, with the bytes that each may send: the oldest query's come first, and
+    /// a younger one does not overtake it.
+    pub fn granted(&self) -> Vec<(StreamId, usize)> {
+        let mut state = self.state.borrow_mut();
+        let waiting = state.streams.iter().filter(|(_, s)| s.wants > 0);
+        let mut waiting: Vec<_> = waiting.map(|(&id, s)| (s.call, id, s.wants)).collect();
+        waiting.sort_unstable();
+        let mut granted = Vec::new();
+        for (call, id, wants) in waiting {
+            if state.drawn + wants > self.bounds.total {
+                break;
+            }
+            state.draw(call, wants);
+            if let Some(stream) = state.streams.get_mut(&id) {
+                (stream.drawn, stream.wants) = (stream.drawn + wants, 0);
+            }
+            granted.push((id, wants));
+        }
+        granted
+    }
+
+    /// The query that has to give way, once nothing else can bring the others on: all that is drawn is held
+    /// by streams, somebody waits, and no table is on its way to a reader. The youngest one that holds any.
+    #[must_use]
+    pub fn victim(&self) -> Option<CallId> {
+        let state = self.state.borrow();
+        let waiting: Vec<&Stream> = state.streams.values().filter(|s| s.wants > 0).collect();
+        if waiting.is_empty() || state.leased > 0 {
+            return None;
+        }
+        // A stream that holds something and does not wait will end or wait in its turn.
+        let moves = state.streams.values().any(|s| s.drawn > 0 && s.wants == 0);
+        if moves {
+            return None;
+        }
+        let oldest = waiting.iter().map(|s| s.call).min();
+        let holders = state.streams.values().filter(|s| s.drawn > 0).map(|s| s.call);
+        // The oldest gives way only to itself: one that cannot end alone is refused by its own bound.
+        holders.max().filter(|&call| Some(call) != oldest)
+    }
+
+    /// The stream is over, and nothing of it is kept.
+    pub fn close(&self, stream: StreamId) {
+        let mut state = self.state.borrow_mut();
+        if let Some(open) = state.streams.remove(&stream) {
+            state.give_back(open.call, open.drawn);
+        }
+    }
+
+    /// The stream has ended with a whole table of so many bytes, which stay drawn until the lease is dropped.
+    /// `None` if there is no room: a small table comes through the first window alone, and has to find its
+    /// room only now.
+    #[must_use]
+    pub fn keep(&self, stream: StreamId, bytes: usize) -> Option<Lease> {
+        let mut state = self.state.borrow_mut();
+        let open = state.streams.remove(&stream)?;
+        state.give_back(open.call, open.drawn);
+        let held = state.calls.get(&open.call).copied().unwrap_or(0);
+        if state.drawn + bytes > self.bounds.total || held + bytes > self.bounds.most_a_call {
+            return None;
+        }
+        state.draw(open.call, bytes);
+        state.leased += bytes;
+        drop(state);
+        Some(Lease(Some(Hold { state: Rc::clone(&self.state), call: open.call, bytes })))
+    }
+
+    /// Bytes drawn now, and the most that ever were.
+    #[must_use]
+    pub fn drawn(&self) -> (usize, usize) {
+        let state = self.state.borrow();
+        (state.drawn, state.peak)
+    }
+
+    /// Whether any host waits.
+    #[must_use]
+    pub fn waits(&self) -> bool {
+        self.state.borrow().streams.values().any(|s| s.wants > 0)
+    }
+}
+
+struct Hold {
+    state: Rc<RefCell<State>>,
+    call: CallId,
+    bytes: usize,
+}
+
+/// A whole table's share of the budget; comes back when it is dropped.
+pub struct Lease(Option<Hold>);
+
+impl Lease {
+    /// A share of nothing.
+    #[must_use]
+    pub fn none() -> Self {
+        Self(None)
+    }
+}
+
+impl fmt::Debug for Lease {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Lease({})", self.0.as_ref().map_or(0, |hold| hold.bytes))
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(hold) = self.0.take() {
+            let mut state = hold.state.borrow_mut();
+            state.leased -= hold.bytes;
+            state.give_back(hold.call, hold.bytes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/flights.rs
@@ -0,0 +1,388 @@
+//! The life of a flight: a query that more than one call may ask for, and that has one outcome all the same.
+//!
+//! A ticket can be redeemed twice, a polled query is asked for by many calls, and a client that lost the
+//! answer to a query with an effect asks again under the same id. All of them meet here, under one [`Key`]:
+//!
+//! ```text
+//!             ask                 settled                    keep over
+//!  (unknown) ------> Running ------------------> Done ----------------------> (forgotten)
+//!                    |    |  refused, untouched                                   ^
+//!                    |    +-----------> (unknown: it may be asked again)          |
+//!                    |  cancel, or nobody polls                                   |
+//!                    +------------------> Cancelled ------------------------------+
+//! ```
+//!
+//! The promise: a flight with an effect runs once. Whoever asks while it runs waits for its outcome with the
+//! others; whoever asks later is told the first outcome. What was asked under the same id with another body
+//! is refused. Memory is bounded in flights and in bytes of outcomes: the oldest settled ones go first, and
+//! one that runs never does. What has been forgotten is not run again either: a ticket says when it was made,
+//! and one as old as anything forgotten is refused ([`Why::Forgotten`]). An id without a ticket does not say;
+//! its outcome is never forgotten before the time that is promised, and new ones find no room first.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use mallowgauge_router::Micros;
+
+/// What a flight is known by: who asks, and the id of the query.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    /// The user; empty where none is asked for.
+    pub user: Rc<str>,
+    /// The client's id for the query.
+    pub id: Rc<str>,
+}
+
+/// A run of a query, by a number that is never given out twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RunId(pub u64);
+
+/// A call that waits for an outcome, by a number of the front's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Caller(pub u64);
+
+/// How a flight is to be treated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spec {
+    /// A hash of all that is asked: the same id with another one is another question.
+    pub body: u64,
+    /// It must not run twice.
+    pub effect: bool,
+    /// It is polled: it goes on between calls, and its outcome is kept for the next.
+    pub polled: bool,
+    /// When its ticket was made; `None` where it was asked for without one. How old such an id is cannot be
+    /// told, so its outcome is kept for the whole time that is promised, even where room is wanted.
+    pub made: Option<Micros>,
+}
+
+/// Why a flight is not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// The id stands for something else.
+    Differs,
+    /// It may have run, and is no longer remembered.
+    Forgotten,
+    /// It was cancelled.
+    Cancelled,
+    /// There is no room for another: those that are remembered all run.
+    Full,
+}
+
+/// What is to be done for a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict<O> {
+    /// Run the query; its outcome goes to [`Flights::settled`].
+    Run(RunId),
+    /// Wait: it runs already.
+    Join(RunId),
+    /// This was the outcome.
+    Tell(O),
+    /// It is not run.
+    Refuse(Why),
+}
+
+/// Where a flight stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing<O> {
+    /// It runs.
+    Running(RunId),
+    /// It is over; its outcome is kept until then.
+    Done(O, Micros),
+    /// It was cancelled.
+    Cancelled,
+}
+
+/// What came of a wish to cancel.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Cancel {
+    /// It is cancelled: this run is to be given up, and these callers are to be told.
+    Cancelled(RunId, Vec<Caller>),
+    /// It was cancelled before.
+    Already,
+    /// It has an effect that may have run, or is over.
+    TooLate,
+    /// Nothing is known of it.
+    Unknown,
+}
+
+/// The bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Most flights that are known.
+    pub flights: usize,
+    /// Most bytes of kept outcomes.
+    pub bytes: usize,
+    /// How long an outcome is kept.
+    pub keep: Micros,
+    /// A polled flight that nobody has asked about for so long is given up.
+    pub unpolled: Micros,
+}
+
+#[derive(Debug)]
+struct Running {
+    run: RunId,
+    callers: BTreeSet<Caller>,
+    /// When it is given up unless somebody asks; polled flights only.
+    idle: Option<Micros>,
+}
+
+#[derive(Debug)]
+enum State<O> {
+    Running(Running),
+    Done { outcome: O, bytes: usize, until: Micros },
+    Cancelled,
+}
+
+#[derive(Debug)]
+struct Flight<O> {
+    spec: Spec,
+    state: State<O>,
+}
+
+/// The flights that are known.
+#[derive(Debug)]
+pub struct Flights<O> {
+    bounds: Bounds,
+    flights: BTreeMap<Key, Flight<O>>,
+    runs: BTreeMap<RunId, Key>,
+    callers: BTreeMap<Caller, RunId>,
+    /// Settled ones by when they are forgotten.
+    ends: BTreeSet<(Micros, Key)>,
+    bytes: usize,
+    /// Flights with an effect whose tickets were made up to then may have been forgotten.
+    forgotten: Option<Micros>,
+}
+
+impl<O: Clone> Flights<O> {
+    /// None known.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            flights: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            ends: BTreeSet::new(),
+            bytes: 0,
+            forgotten: None,
+        }
+    }
+
+    /// How many are known, and the bytes of their outcomes.
+    #[must_use]
+    pub fn held(&self) -> (usize, usize) {
+        (self.flights.len(), self.bytes)
+    }
+
+    /// A call asks for a flight; if it is to be run, it is run under the number given.
+    pub fn ask(
+        &mut self,
+        now: Micros,
+        key: &Key,
+        spec: Spec,
+        caller: Option<Caller>,
+        run: RunId,
+    ) -> Verdict<O> {
+        self.expire(now);
+        let unpolled = now + self.bounds.unpolled;
+        if let Some(flight) = self.flights.get_mut(key) {
+            if flight.spec.body != spec.body {
+                return Verdict::Refuse(Why::Differs);
+            }
+            return match &mut flight.state {
+                State::Running(running) => {
+                    running.idle = running.idle.map(|_| unpolled);
+                    running.callers.extend(caller);
+                    let run = running.run;
+                    self.callers.extend(caller.map(|caller| (caller, run)));
+                    Verdict::Join(run)
+                }
+                State::Done { outcome, .. } => Verdict::Tell(outcome.clone()),
+                State::Cancelled => Verdict::Refuse(Why::Cancelled),
+            };
+        }
+        if spec.effect && spec.made.is_some_and(|made| Some(made) <= self.forgotten) {
+            return Verdict::Refuse(Why::Forgotten);
+        }
+        if self.flights.len() >= self.bounds.flights && !self.forget_first(now) {
+            return Verdict::Refuse(Why::Full);
+        }
+        let idle = spec.polled.then_some(unpolled);
+        let running = Running { run, callers: caller.into_iter().collect(), idle };
+        self.flights.insert(key.clone(), Flight { spec, state: State::Running(running) });
+        self.runs.insert(run, key.clone());
+        self.callers.extend(caller.map(|caller| (caller, run)));
+        Verdict::Run(run)
+    }
+
+    /// A run has its final answer: the calls that are to be told. `untouched` says that it was turned away
+    /// with nothing run, so that it may be asked again.
+    pub fn settled(
+        &mut self,
+        now: Micros,
+        run: RunId,
+        outcome: O,
+        bytes: usize,
+        untouched: bool,
+    ) -> Vec<Caller> {
+        let Some(key) = self.runs.remove(&run) else { return Vec::new() };
+        let Some(flight) = self.flights.get_mut(&key) else { return Vec::new() };
+        let State::Running(running) = &mut flight.state else { return Vec::new() };
+        let callers = std::mem::take(&mut running.callers);
+        for caller in &callers {
+            self.callers.remove(caller);
+        }
+        if untouched {
+            self.flights.remove(&key);
+        } else {
+            let until = now + self.bounds.keep;
+            flight.state = State::Done { outcome, bytes, until };
+            self.ends.insert((until, key));
+            self.bytes += bytes;
+            // The newest stays, if only for the call after this one, unless it is too large by itself.
+            while self.bytes > self.bounds.bytes && self.forget_first(now) {}
+        }
+        callers.into_iter().collect()
+    }
+
+    /// A call no longer waits. The run that nobody needs any more, if that is so: one with an effect, and a
+    /// polled one, go on without callers.
+    pub fn leave(&mut self, caller: Caller) -> Option<RunId> {
+        let run = self.callers.remove(&caller)?;
+        let key = self.runs.get(&run)?.clone();
+        let flight = self.flights.get_mut(&key)?;
+        let State::Running(running) = &mut flight.state else { return None };
+        running.callers.remove(&caller);
+        if !running.callers.is_empty() || flight.spec.effect || flight.spec.polled {
+            return None;
+        }
+        self.flights.remove(&key);
+        self.runs.remove(&run);
+        Some(run)
+    }
+
+    /// Where a flight stands; asking keeps a polled one alive.
+    pub fn look(&mut self, now: Micros, key: &Key) -> Option<Standing<O>> {
+        self.expire(now);
+        let unpolled = now + self.bounds.unpolled;
+        Some(match &mut self.flights.get_mut(key)?.state {
+            State::Running(running) => {
+                running.idle = running.idle.map(|_| unpolled);
+                Standing::Running(running.run)
+            }
+            State::Done { outcome, until, .. } => Standing::Done(outcome.clone(), *until),
+            State::Cancelled => Standing::Cancelled,
+        })
+    }
+
+    /// A client wants a flight cancelled; `touched` says of a run whether a part of it may have run.
+    pub fn cancel(&mut self, now: Micros, key: &Key, touched: impl Fn(RunId) -> bool) -> Cancel {
+        self.expire(now);
+        let Some(flight) = self.flights.get_mut(key) else { return Cancel::Unknown };
+        let (run, callers) = match &mut flight.state {
+            State::Running(running) if flight.spec.effect && touched(running.run) => return Cancel::TooLate,
+            State::Running(running) => (running.run, std::mem::take(&mut running.callers)),
+            State::Done { .. } => return Cancel::TooLate,
+            State::Cancelled => return Cancel::Already,
+        };
+        self.runs.remove(&run);
+        for caller in &callers {
+            self.callers.remove(caller);
+        }
+        let until = now + self.bounds.keep;
+        flight.state = State::Cancelled;
+        self.ends.insert((until, key.clone()));
+        Cancel::Cancelled(run, callers.into_iter().collect())
+    }
+
+    /// A client wants nothing to come of a flight that is not known, or no longer: it will not be run.
+    ///
+    /// # Errors
+    /// There is no room to remember that.
+    pub fn revoke(&mut self, now: Micros, key: &Key, spec: Spec) -> Result<(), Why> {
+        if self.flights.contains_key(key) {
+            return Ok(());
+        }
+        if self.flights.len() >= self.bounds.flights && !self.forget_first(now) {
+            return Err(Why::Full);
+        }
+        let until = now + self.bounds.keep;
+        self.flights.insert(key.clone(), Flight { spec, state: State::Cancelled });
+        self.ends.insert((until, key.clone()));
+        Ok(())
+    }
+
+    /// The flights of a user, with where they stand.
+    pub fn list<'a>(&'a self, user: &'a str) -> impl Iterator<Item = (&'a Key, &'static str)> + 'a {
+        let mine = self.flights.iter().filter(move |(key, _)| &*key.user == user);
+        mine.map(|(key, flight)| match flight.state {
+            State::Running(_) => (key, "running"),
+            State::Done { .. } => (key, "done"),
+            State::Cancelled => (key, "cancelled"),
+        })
+    }
+
+    /// A client wants an outcome kept for longer: until when it is.
+    pub fn renew(&mut self, now: Micros, key: &Key) -> Option<Micros> {
+        self.expire(now);
+        let State::Done { until, .. } = &mut self.flights.get_mut(key)?.state else { return None };
+        self.ends.remove(&(*until, key.clone()));
+        *until = now + self.bounds.keep;
+        self.ends.insert((*until, key.clone()));
+        Some(*until)
+    }
+
+    /// When something is to be forgotten or given up.
+    #[must_use]
+    pub fn due(&self) -> Option<Micros> {
+        let idle = self.runs.values().filter_map(|key| match &self.flights.get(key)?.state {
+            State::Running(running) if running.callers.is_empty() => running.idle,
+            _ => None,
+        });
+        self.ends.first().map(|(at, _)| *at).into_iter().chain(idle).min()
+    }
+
+    /// Forgets what has been kept for long enough, and gives up polled flights that nobody asks about: the
+    /// runs that are to be given up.
+    pub fn expire(&mut self, now: Micros) -> Vec<RunId> {
+        while self.ends.first().is_some_and(|(at, _)| *at <= now) {
+            self.forget_first(now);
+        }
+        let idle = |running: &Running| running.callers.is_empty() && running.idle.is_some_and(|at| at <= now);
+        let over = self.runs.iter().filter(|(_, key)| match self.flights.get(key).map(|f| &f.state) {
+            Some(State::Running(running)) => idle(running),
+            _ => false,
+        });
+        let over: Vec<(RunId, Key)> = over.map(|(&run, key)| (run, key.clone())).collect();
+        for (run, key) in &over {
+            self.runs.remove(run);
+            if let Some(flight) = self.flights.get_mut(key) {
+                let until = now + self.bounds.keep;
+                flight.state = State::Cancelled;
+                self.ends.insert((until, key.clone()));
+            }
+        }
+        over.into_iter().map(|(run, _)| run).collect()
+    }
+
+    /// Forgets the settled flight that is due first, of those that may go before their time; `false` if there
+    /// is none.
+    fn forget_first(&mut self, now: Micros) -> bool {
+        let may_go = |(at, key): &&(Micros, Key)| {
+            let flight = self.flights.get(key);
+            *at <= now || flight.is_none_or(|f| !f.spec.effect || f.spec.made.is_some())
+        };
+        let Some(first) = self.ends.iter().find(may_go).cloned() else { return false };
+        self.ends.remove(&first);
+        let key = first.1;
+        if let Some(flight) = self.flights.remove(&key) {
+            if let State::Done { bytes, .. } = flight.state {
+                self.bytes -= bytes;
+            }
+            if flight.spec.effect {
+                self.forgotten = self.forgotten.max(flight.spec.made);
+            }
+        }
+        true
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,17 @@
 //! gathers these until the next turn, gives them to the [`Router`] in one call and turns the router's
 //! actions into [`Effect`]s. Every time is an argument.
 
+pub mod admission;
+pub mod batch;
+pub mod budget;
+pub mod flights;
+pub mod sessions;
+pub mod truth;
+mod value;
+
+use budget::CallId;
+pub use value::{Message, Table, Value};
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -55,6 +66,8 @@
     Parts,
     /// Its time ran out.
     TimeUp,
+    /// Its tables found no room in memory, and parts of it may have run.
+    Room,
 }
 
 /// The final answer to a query.
@@ -65,7 +78,7 @@
         /// Whether this is marked as the whole answer.
         whole: bool,
         /// The values, as the hosts gave them.
-        values: Vec<(ShardId, Rc<str>)>,
+        values: Vec<(ShardId, Value)>,
     },
     /// Turned away: trying again is harmless.
     Refused {
@@ -94,6 +107,8 @@
     pub attempt: AttemptId,
     /// The client's id of the query.
     pub query: Rc<str>,
+    /// The query, as the core numbers them: the lower, the older.
+    pub call: CallId,
     /// The shard.
     pub shard: ShardId,
     /// How long its answer is waited for.
@@ -124,7 +139,7 @@
     ask: Ask,
     end: Micros,
     first_part: u128,
-    values: Vec<Option<Rc<str>>>,
+    values: Vec<Option<Value>>,
     /// Attempts that may have run.
     may_have_run: u32,
 }
@@ -150,6 +165,10 @@
     router: Router,
     classes: Vec<String>,
     deadlines: Vec<Micros>,
+    /// Whether a class's parts may be repeated freely.
+    harmless: Vec<bool>,
+    /// Final answers that came about between turns.
+    ready: Vec<crate::Effect>,
     tick: Micros,
     bounds: Bounds,
     queries: BTreeMap<QueryId, Open>,
@@ -183,10 +202,14 @@
     ) -> Result<Self, SettingsError> {
         let tick = settings.tick;
         let deadlines = settings.classes.iter().map(|class| class.deadline).collect();
+        let free = |class: &Class| matches!(class.effect, mallowgauge_router::Effect::Safe);
+        let harmless = settings.classes.iter().map(free).collect();
         Ok(Self {
             router: Router::new(seed, settings)?,
             classes,
             deadlines,
+            harmless,
+            ready: Vec::new(),
             tick,
             bounds,
             queries: BTreeMap::new(),
@@ -215,6 +238,59 @@
         self.deadlines[class.0]
     }
 
+    /// Whether a class's queries may be repeated freely.
+    pub fn is_harmless(&self, class: ClassId) -> bool {
+        self.harmless[class.0]
+    }
+
+    /// The names of the classes.
+    pub fn classes(&self) -> impl Iterator<Item = &str> {
+        self.classes.iter().map(String::as_str)
+    }
+
+    /// When a client that would find no room now may come back.
+    pub fn advice(&mut self) -> Micros {
+        self.router.retry_after()
+    }
+
+    /// Whether a query with this id is open.
+    pub fn is_open(&self, id: &str) -> bool {
+        self.ids.contains_key(id)
+    }
+
+    /// Whether a part of somebody's query may have run; `false` if it is not open.
+    pub fn touched(&self, asker: Asker) -> bool {
+        let open = self.askers.get(&asker).and_then(|query| self.queries.get(query));
+        open.is_some_and(|open| open.may_have_run > 0)
+    }
+
+    /// How many parts of somebody's query are in, and how many it has.
+    pub fn progress(&self, asker: Asker) -> Option<(usize, usize)> {
+        let open = self.askers.get(&asker).and_then(|query| self.queries.get(query))?;
+        Some((open.values.iter().flatten().count(), open.values.len()))
+    }
+
+    /// A value that is in of the query to which an attempt belongs; another one has to agree with it.
+    pub fn value_beside(&self, id: AttemptId) -> Option<&Value> {
+        let out = self.attempts.get(&id)?;
+        self.queries.get(&out.query)?.values.iter().flatten().next()
+    }
+
+    /// The memory for tables is taken, and this query has to give way: it is refused where trying again is
+    /// harmless, and fails otherwise.
+    pub fn overrun(&mut self, call: CallId) {
+        let query = QueryId(call.0);
+        let Some(open) = self.queries.get(&query) else { return };
+        let answer = if self.harmless[open.ask.class.0] || open.may_have_run == 0 {
+            Answer::Refused { retry_after: self.router.retry_after(), untouched: open.may_have_run == 0 }
+        } else {
+            Answer::Failed(Failure::Room)
+        };
+        let effect = self.finish(query, answer);
+        self.ready.extend(effect);
+        self.events.push(Event::Left(query));
+    }
+
     /// How many queries are open.
     pub fn open(&self) -> usize {
         self.queries.len()
@@ -293,7 +369,7 @@
     }
 
     /// An attempt has ended. One that is no longer out is passed over.
-    pub fn outcome(&mut self, now: Micros, id: AttemptId, outcome: Outcome, value: Option<Rc<str>>) {
+    pub fn outcome(&mut self, now: Micros, id: AttemptId, outcome: Outcome, value: Option<Value>) {
         let Some(out) = self.attempts.remove(&id) else { return };
         self.timeouts.remove(&(out.until, id));
         if let Some(open) = self.queries.get_mut(&out.query) {
@@ -326,13 +402,16 @@
             self.ends.first().map(|(at, _)| *at),
             (!self.events.is_empty()).then_some(0),
         ];
+        if !self.ready.is_empty() {
+            return Some(0);
+        }
         let first = timers.into_iter().flatten().min()?;
         Some(first.max(self.last_turn.map_or(0, |last| last + self.tick)))
     }
 
     /// Runs a turn if one is due.
     pub fn turn(&mut self, now: Micros) -> Vec<Effect> {
-        let mut effects = Vec::new();
+        let mut effects = std::mem::take(&mut self.ready);
         if self.due().is_none_or(|due| due > now) {
             return effects;
         }
@@ -420,6 +499,7 @@
         Some(Send {
             attempt: id,
             query: Rc::clone(&open.ask.id),
+            call: CallId(query.0),
             shard: open.ask.parts[index].shard,
             wait: until.saturating_sub(now),
             text: Rc::clone(&open.ask.text),
--- /dev/null
+++ b/crates/edge/src/front/flight/auth.rs
@@ -0,0 +1,158 @@
+//! Who calls: users with passwords from a file, tokens that stand for them, cookies that name a session.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use base64::engine::general_purpose::{STANDARD, STANDARD_NO_PAD};
+use base64::Engine;
+use http::HeaderMap;
+use mallowgauge_core::admission::Admission;
+use mallowgauge_core::sessions::SessionId;
+use mallowgauge_flight::grpc::{Code, Status};
+use mallowgauge_flight::seal::{self, Key, Token};
+use mallowgauge_router::Micros;
+
+/// The cookie that names a session, as Flight's clients keep it.
+pub const COOKIE: &str = "arrow_flight_session_id";
+
+/// Who calls.
+#[derive(Clone, Debug, Default)]
+pub struct Who {
+    /// The user; empty where nobody is asked.
+    pub user: Rc<str>,
+    /// The session that the call belongs to.
+    pub session: Option<SessionId>,
+}
+
+/// How a call says who it is.
+enum Claim<'a> {
+    Basic(&'a str),
+    Token(Vec<u8>),
+    None,
+}
+
+fn claim(headers: &HeaderMap) -> Claim<'_> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    if let Some(line) = text("authorization") {
+        if let Some((scheme, rest)) = line.split_once(' ') {
+            if scheme.eq_ignore_ascii_case("basic") {
+                return Claim::Basic(rest.trim());
+            }
+            if scheme.eq_ignore_ascii_case("bearer") {
+                return Claim::Token(unbase(rest.trim()).unwrap_or_default());
+            }
+        }
+        return Claim::Token(Vec::new());
+    }
+    match text("auth-token-bin") {
+        // Binary lines are base64 on the wire; the token within is the text that the handshake gave.
+        Some(line) => {
+            let token = unbase(line).and_then(|inner| unbase(std::str::from_utf8(&inner).ok()?));
+            Claim::Token(token.unwrap_or_default())
+        }
+        None => Claim::None,
+    }
+}
+
+fn unbase(text: &str) -> Option<Vec<u8>> {
+    STANDARD_NO_PAD.decode(text.trim_end_matches('=')).ok()
+}
+
+fn unknown() -> Status {
+    Status::new(Code::Unauthenticated, "who asks is not known").because("UNAUTHENTICATED")
+}
+
+fn cookie(headers: &HeaderMap) -> Option<SessionId> {
+    let lines = headers.get_all("cookie").iter().filter_map(|line| line.to_str().ok());
+    let mut pairs = lines.flat_map(|line| line.split(';')).filter_map(|pair| pair.trim().split_once('='));
+    let (_, value) = pairs.find(|(name, _)| *name == COOKIE)?;
+    u128::from_str_radix(value, 16).ok().map(SessionId)
+}
+
+/// The doorkeeper: the users that may call.
+pub struct Door {
+    users: Option<BTreeMap<String, String>>,
+    key: Key,
+    life: Micros,
+}
+
+impl Door {
+    /// For these users; where there are none, everybody may call.
+    pub fn new(users: Option<BTreeMap<String, String>>, key: Key, life: Micros) -> Self {
+        Self { users, key, life }
+    }
+
+    /// Other users from now on; tokens of those who are gone count no longer.
+    pub fn replace(&mut self, users: Option<BTreeMap<String, String>>) {
+        self.users = users;
+    }
+
+    /// Whether callers have to say who they are.
+    pub fn asks(&self) -> bool {
+        self.users.is_some()
+    }
+
+    /// Who a call is from.
+    pub fn who(&self, now: Micros, headers: &HeaderMap, admission: &mut Admission) -> Result<Who, Status> {
+        let Some(users) = &self.users else {
+            return Ok(Who { user: "".into(), session: cookie(headers) });
+        };
+        match claim(headers) {
+            Claim::None => Err(unknown()),
+            Claim::Basic(text) => {
+                let pair = unbase(text).and_then(|bytes| String::from_utf8(bytes).ok());
+                let pair = pair.as_deref().and_then(|pair| pair.split_once(':')).ok_or_else(unknown)?;
+                let user = self.check(now, pair.0, pair.1, admission)?;
+                Ok(Who { user, session: cookie(headers) })
+            }
+            Claim::Token(sealed) => {
+                let token = self.key.read_token(now, &sealed).map_err(|bad| match bad {
+                    seal::Bad::Expired => {
+                        Status::new(Code::Unauthenticated, "the token has expired").because("TOKEN_EXPIRED")
+                    }
+                    seal::Bad::Forged => unknown(),
+                })?;
+                if !users.contains_key(&token.user) {
+                    return Err(unknown());
+                }
+                let number = u128::from(token.session_high) << 64 | u128::from(token.session_low);
+                let session = cookie(headers).or(Some(SessionId(number)));
+                Ok(Who { user: token.user.into(), session })
+            }
+        }
+    }
+
+    /// Checks a password, at the rate that the admission allows.
+    pub fn check(
+        &self,
+        now: Micros,
+        name: &str,
+        password: &str,
+        admission: &mut Admission,
+    ) -> Result<Rc<str>, Status> {
+        let Some(users) = &self.users else { return Ok("".into()) };
+        admission.handshake(now).map_err(|full| {
+            Status::new(Code::ResourceExhausted, full.what).because("HANDSHAKES").retry(full.retry_after)
+        })?;
+        // An unknown user takes as long as a wrong password.
+        let nobody = || users.values().next().map_or("", String::as_str);
+        let line = users.get(name).map_or_else(nobody, String::as_str);
+        let fits = seal::password_fits(line, password);
+        if fits && users.contains_key(name) {
+            Ok(name.into())
+        } else {
+            Err(unknown())
+        }
+    }
+
+    /// A token for a user, as it goes into a header line.
+    pub fn token(&self, now: Micros, user: &str, session: u128) -> String {
+        let token = Token {
+            user: user.to_owned(),
+            expires: now.saturating_add(self.life),
+            session_high: (session >> 64) as u64,
+            session_low: session as u64,
+        };
+        STANDARD.encode(self.key.token(&token))
+    }
+}
--- /dev/null
+++ b/crates/edge/src/front/flight/mod.rs
@@ -0,0 +1,853 @@
+//! The Flight front: clients that speak Arrow Flight, which is gRPC over HTTP/2.
+//!
+//! `call` is one call, `methods` what each method makes of it, `long` the two long streams, `auth` who calls,
+//! `command` how a query is written. The [`Office`] is what all calls share. What the front decides stands in
+//! `core`: who is let in (`admission`), what becomes of a ticket and of a polled query (`flights`), what a
+//! long stream may begin (`batch`), which sessions are kept (`sessions`).
+
+mod auth;
+mod call;
+mod command;
+mod long;
+mod methods;
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
+
+use bytes::Bytes;
+use h2::server::{self, SendResponse};
+use h2::RecvStream;
+use http::{HeaderMap, Request, Response};
+use mallowgauge_core::admission::{Admission, Limits, CONNECTION_WINDOW};
+use mallowgauge_core::batch::{Phase, Why as Busy};
+use mallowgauge_core::flights::{self, Caller, Flights, Key, RunId, Spec, Standing, Verdict};
+use mallowgauge_core::sessions::{SessionId, Sessions};
+use mallowgauge_core::{Answer, Ask, Asker, Core};
+use mallowgauge_flight::answer::{schema_message, text_schema};
+use mallowgauge_flight::grpc::{self, Code, Encoding, Status};
+use mallowgauge_flight::proto::HealthCheckResponse;
+use mallowgauge_flight::seal;
+use mallowgauge_net::{Handle, Stream, Token};
+use mallowgauge_router::{ClassId, Micros};
+use mallowgauge_settings::Flight as Settings;
+
+use self::auth::Door;
+use self::call::{Call, Read, Work};
+use self::command::Command;
+use self::long::{Form, Long, Said};
+use self::methods::{refusal, Head, Method, Waiting};
+use crate::tls::{self, Acceptor};
+use crate::token;
+use crate::wire::{Flag, Wire};
+
+/// A handshake has to be over by then.
+const SLOWEST_HANDSHAKE: Micros = 2_000_000;
+/// A connection without a call is kept for so long.
+const LONGEST_IDLE: Micros = 120_000_000;
+/// Outcomes are kept for so long, and sessions after their last call.
+const KEEP: Micros = 600_000_000;
+const REST: Micros = 3_600_000_000;
+/// A polled query that nobody asks about for so long is given up.
+const UNPOLLED: Micros = 30_000_000;
+
+type Handshake = Pin<Box<dyn Future<Output = Result<server::Connection<Wire, Bytes>, h2::Error>>>>;
+
+enum State {
+    Handshake(Handshake),
+    Up(Box<server::Connection<Wire, Bytes>>),
+}
+
+struct Connection {
+    state: State,
+    flag: Arc<Flag>,
+    waker: Waker,
+    calls: BTreeMap<u64, Call>,
+    draining: bool,
+    since: Micros,
+}
+
+/// What came of a query that a call has handed in.
+pub enum Submitted {
+    /// Its outcome will come for this caller.
+    Waiting(Caller),
+    /// It is over already.
+    Over(Result<Rc<Answer>, Status>),
+}
+
+/// A query in the core, and who waits for it.
+struct Run {
+    class: ClassId,
+    key: Key,
+    /// Who waits, unless the flight of that key knows.
+    plain: Option<Caller>,
+}
+
+/// Where an outcome goes: a call, and which of its queries.
+struct Place {
+    call: u64,
+    tag: Rc<str>,
+    id: Rc<str>,
+}
+
+type Outcome = Result<Rc<Answer>, Status>;
+
+/// What all calls share.
+pub struct Office {
+    admission: Admission,
+    flights: Flights<Rc<Answer>>,
+    runs: BTreeMap<RunId, Run>,
+    callers: BTreeMap<Caller, Place>,
+    sessions: Sessions,
+    door: Door,
+    key: seal::Key,
+    issuer: u64,
+    ticket_life: Micros,
+    unpolled: Micros,
+    /// Some hosts may answer with tables of their own columns.
+    tables: bool,
+    text_schema: Option<Bytes>,
+    /// What each class's columns were last, as `FlightInfo` carries them, and as the first host wrote them.
+    learned: Vec<Option<Bytes>>,
+    shown: Vec<Option<Bytes>>,
+    /// Outcomes that are on their way to calls.
+    outbox: Vec<(u64, Rc<str>, Rc<str>, Outcome)>,
+    next: u64,
+    rng: fastrand::Rng,
+    draining: bool,
+}
+
+/// The connections of the Flight front.
+pub struct Front {
+    connections: BTreeMap<u64, Connection>,
+    /// Which connection a call is on.
+    homes: BTreeMap<u64, u64>,
+    office: Office,
+    acceptor: Option<Acceptor>,
+}
+
+impl Office {
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// An id for a query whose client names none.
+    fn fresh(&mut self) -> String {
+        format!("{:016x}", self.rng.u64(..))
+    }
+
+    fn session(&mut self) -> SessionId {
+        SessionId(self.rng.u128(..))
+    }
+
+    fn token(&mut self, now: Micros, user: &str) -> String {
+        let session = self.session();
+        self.door.token(now, user, session.0)
+    }
+
+    /// The status of the service in the words of gRPC's health checks.
+    fn health(&self) -> i32 {
+        if self.draining {
+            2
+        } else {
+            1
+        }
+    }
+
+    /// Hands a query in. One with an effect, and a polled one, has one outcome whoever asks.
+    #[allow(clippy::too_many_arguments)] // They belong to one call and are named where it is made
+    fn submit(
+        &mut self,
+        now: Micros,
+        core: &mut Core,
+        call: u64,
+        tag: &str,
+        key: Key,
+        spec: Spec,
+        ask: Ask,
+    ) -> Submitted {
+        let (run, caller) = (RunId(self.number()), Caller(self.number()));
+        let shared = spec.effect || spec.polled;
+        if shared {
+            match self.flights.ask(now, &key, spec, Some(caller), run) {
+                Verdict::Run(_) => {}
+                Verdict::Join(_) => {
+                    self.place(caller, call, tag, &key);
+                    return Submitted::Waiting(caller);
+                }
+                Verdict::Tell(answer) => return Submitted::Over(Ok(answer)),
+                Verdict::Refuse(why) => return Submitted::Over(Err(refusal(why))),
+            }
+        } else if matches!(self.flights.look(now, &key), Some(Standing::Cancelled)) {
+            return Submitted::Over(Err(refusal(flights::Why::Cancelled)));
+        }
+        let plain = (!shared).then_some(caller);
+        self.runs.insert(run, Run { class: ask.class, key: key.clone(), plain });
+        self.place(caller, call, tag, &key);
+        let ask = self.unlike(ask, core);
+        match core.ask(now, Asker::Flight(run.0), ask) {
+            Ok(()) => Submitted::Waiting(caller),
+            Err(answer) => {
+                self.callers.remove(&caller);
+                let answer = Rc::new(answer);
+                self.over(now, run, &answer);
+                Submitted::Over(Ok(answer))
+            }
+        }
+    }
+
+    /// Hosts tell queries apart by their ids: a ticket that is used twice at a time is given another.
+    fn unlike(&mut self, mut ask: Ask, core: &Core) -> Ask {
+        if core.is_open(&ask.id) {
+            let short: String = ask.id.chars().take(40).collect();
+            ask.id = format!("{short}~{:08x}", self.rng.u32(..)).into();
+        }
+        ask
+    }
+
+    fn place(&mut self, caller: Caller, call: u64, tag: &str, key: &Key) {
+        let id = Rc::clone(&key.id);
+        self.callers.insert(caller, Place { call, tag: tag.into(), id });
+    }
+
+    /// A run has its final answer: the callers that wait for it.
+    fn over(&mut self, now: Micros, run: RunId, answer: &Rc<Answer>) -> Vec<Caller> {
+        let Some(known) = self.runs.remove(&run) else { return Vec::new() };
+        self.learn(known.class, answer);
+        if let Some(caller) = known.plain {
+            return vec![caller];
+        }
+        let (bytes, untouched) = match &**answer {
+            Answer::Served { values, .. } => (values.iter().map(|(_, value)| value.bytes()).sum(), false),
+            Answer::Refused { untouched, .. } => (0, *untouched),
+            // What makes no sense has not run.
+            Answer::Failed(failure) => (0, matches!(failure, mallowgauge_core::Failure::Invalid(_))),
+        };
+        self.flights.settled(now, run, Rc::clone(answer), bytes, untouched)
+    }
+
+    /// Puts an outcome into the outbox for these callers.
+    fn tell(&mut self, callers: Vec<Caller>, outcome: &Outcome) {
+        for caller in callers {
+            if let Some(place) = self.callers.remove(&caller) {
+                self.outbox.push((place.call, place.tag, place.id, outcome.clone()));
+            }
+        }
+    }
+
+    /// A run is not wanted any more.
+    fn give_up(&mut self, run: RunId, core: &mut Core) {
+        if self.runs.remove(&run).is_some() {
+            core.gone(Asker::Flight(run.0));
+        }
+    }
+
+    /// Gives up what runs under this key for one call each.
+    fn cancel_plain(&mut self, key: &Key, core: &mut Core) {
+        let of = |(run, known): (&RunId, &Run)| Some((*run, known.plain?)).filter(|_| known.key == *key);
+        let found: Vec<(RunId, Caller)> = self.runs.iter().filter_map(of).collect();
+        for (run, caller) in found {
+            self.give_up(run, core);
+            self.tell(vec![caller], &Err(refusal(flights::Why::Cancelled)));
+        }
+    }
+
+    /// A call no longer waits for an outcome.
+    fn leave(&mut self, caller: Caller, core: &mut Core) {
+        self.callers.remove(&caller);
+        let plain = self.runs.iter().find(|(_, known)| known.plain == Some(caller)).map(|(&run, _)| run);
+        let run = plain.or_else(|| self.flights.leave(caller));
+        run.into_iter().for_each(|run| self.give_up(run, core));
+    }
+}
+
+/// The bounds of the table that the front uses, and what is told of it.
+pub struct Setup<'a> {
+    /// The table of bounds.
+    pub limits: Limits,
+    /// What the operator's file says.
+    pub settings: &'a Settings,
+    /// For random numbers.
+    pub seed: u64,
+    /// How many classes there are.
+    pub classes: usize,
+}
+
+impl Front {
+    /// A front on which nobody has called.
+    ///
+    /// # Errors
+    /// Its certificate or key makes no sense.
+    pub fn new(setup: &Setup<'_>) -> Result<Self, String> {
+        let Setup { limits, settings, seed, classes } = setup;
+        let mut rng = fastrand::Rng::with_seed(*seed);
+        // Without a key of the operator's, tickets and tokens count until this copy ends.
+        let mut secret = [0; 32];
+        rng.fill(&mut secret);
+        let key = seal::Key::new(settings.key.as_deref().unwrap_or(&secret));
+        let bounds = flights::Bounds {
+            flights: limits.flights,
+            bytes: limits.outcomes,
+            keep: KEEP,
+            unpolled: UNPOLLED,
+        };
+        let office = Office {
+            admission: Admission::new(*limits),
+            flights: Flights::new(bounds),
+            runs: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            sessions: Sessions::new(limits.sessions, REST),
+            door: Door::new(settings.users.clone(), key.clone(), settings.token_life),
+            key,
+            issuer: rng.u64(..),
+            ticket_life: settings.ticket_life,
+            unpolled: UNPOLLED,
+            tables: settings.every_host || !settings.hosts.is_empty(),
+            text_schema: schema_message(&text_schema()).ok(),
+            learned: vec![None; *classes],
+            shown: vec![None; *classes],
+            outbox: Vec::new(),
+            next: 0,
+            rng,
+            draining: false,
+        };
+        let acceptor = settings.tls.as_ref().map(Acceptor::new).transpose()?;
+        Ok(Self { connections: BTreeMap::new(), homes: BTreeMap::new(), office, acceptor })
+    }
+
+    /// Takes certificate, key and users from settings that were read again; what is open goes on.
+    ///
+    /// # Errors
+    /// They make no sense, and nothing has changed.
+    pub fn reload(&mut self, settings: &Settings) -> Result<(), String> {
+        let acceptor = settings.tls.as_ref().map(Acceptor::new).transpose()?;
+        if acceptor.is_some() != self.acceptor.is_some() {
+            return Err("flight.tls is turned on or off by a restart alone".to_owned());
+        }
+        self.acceptor = acceptor;
+        if settings.users.is_some() == self.office.door.asks() {
+            self.office.door.replace(settings.users.clone());
+        }
+        Ok(())
+    }
+
+    /// Whether one more connection fits; the one that has had no call for longest goes to make room.
+    pub fn has_room(&mut self) -> bool {
+        if !self.office.admission.has_room() {
+            let idle = self.connections.iter().filter(|(_, c)| c.calls.is_empty());
+            if let Some(id) = idle.min_by_key(|(_, c)| c.since).map(|(&id, _)| id) {
+                self.connections.remove(&id);
+                self.office.admission.disconnected();
+            }
+        }
+        self.office.admission.has_room()
+    }
+
+    /// Takes an accepted connection.
+    pub fn accept(&mut self, now: Micros, handle: &Handle, socket: std::net::TcpStream) {
+        let id = self.office.number();
+        let stream = match Stream::accepted(handle, socket, Token { kind: token::FLIGHT, id }) {
+            Ok(stream) => Rc::new(stream),
+            Err(e) => return tracing::warn!("connection not taken: {e}"),
+        };
+        let session = match self.acceptor.as_ref().map(Acceptor::accept).transpose() {
+            Ok(session) => session,
+            Err(e) => return tracing::warn!("connection not taken: {e}"),
+        };
+        let (wire, _) = Wire::new(stream, session.map(tls::Session::Server));
+        let limits = self.office.admission.limits();
+        let mut builder = server::Builder::new();
+        builder
+            .max_concurrent_streams(limits.streams)
+            .max_header_list_size(limits.head)
+            .initial_window_size(limits.message as u32 + 5)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .max_send_buffer_size(limits.send_buffer);
+        let state = State::Handshake(Box::pin(builder.handshake(wire)));
+        let (flag, waker) = Flag::waker();
+        let calls = BTreeMap::new();
+        self.connections.insert(id, Connection { state, flag, waker, calls, draining: false, since: now });
+        self.office.admission.connected();
+    }
+
+    /// A connection's socket is ready, or something of it has to go out.
+    pub fn ready(&mut self, now: Micros, id: u64, core: &mut Core) {
+        self.touch(now, id, core);
+        self.post(now, core);
+    }
+
+    fn touch(&mut self, now: Micros, id: u64, core: &mut Core) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if !connection.ready(now, id, &mut self.homes, &mut self.office, core) {
+            self.close(id, core);
+        }
+    }
+
+    /// Brings outcomes to the calls that wait for them, until none is left.
+    fn post(&mut self, now: Micros, core: &mut Core) {
+        while !self.office.outbox.is_empty() {
+            let mut moved = std::collections::BTreeSet::new();
+            for (call, tag, id, outcome) in std::mem::take(&mut self.office.outbox) {
+                let Some(&home) = self.homes.get(&call) else { continue };
+                let held = self.connections.get_mut(&home).and_then(|c| c.calls.get_mut(&call));
+                if let Some(held) = held {
+                    held.deliver(now, &tag, &id, outcome, &mut self.office, core);
+                    moved.insert(home);
+                }
+            }
+            moved.into_iter().for_each(|id| self.touch(now, id, core));
+        }
+    }
+
+    fn close(&mut self, id: u64, core: &mut Core) {
+        let Some(connection) = self.connections.remove(&id) else { return };
+        self.office.admission.disconnected();
+        for (number, mut call) in connection.calls {
+            self.homes.remove(&number);
+            call.abandon(&mut self.office, core);
+            self.office.admission.call_over();
+        }
+    }
+
+    /// The core has decided.
+    pub fn answer(&mut self, now: Micros, run: u64, answer: Answer, core: &mut Core) {
+        let answer = Rc::new(answer);
+        let callers = self.office.over(now, RunId(run), &answer);
+        self.office.tell(callers, &Ok(answer));
+        self.post(now, core);
+    }
+
+    /// Whether an answer is owed or being written, or a flight runs that nobody waits for just now.
+    #[must_use]
+    pub fn busy(&self) -> bool {
+        let calls = self.connections.values().flat_map(|c| c.calls.values());
+        !self.office.runs.is_empty() || calls.into_iter().any(Call::is_owed)
+    }
+
+    /// Asks every client to take new calls elsewhere; long streams end once what is open on them is answered.
+    pub fn drain(&mut self, now: Micros, core: &mut Core) {
+        self.office.draining = true;
+        let ids: Vec<u64> = self.connections.keys().copied().collect();
+        for id in ids {
+            if let Some(connection) = self.connections.get_mut(&id) {
+                if let State::Up(up) = &mut connection.state {
+                    if !std::mem::replace(&mut connection.draining, true) {
+                        up.graceful_shutdown();
+                    }
+                }
+                connection.calls.values_mut().for_each(|call| call.drain(now));
+            }
+            self.ready(now, id, core);
+        }
+    }
+
+    /// When the first client has kept it waiting for too long, or a flight is over.
+    #[must_use]
+    pub fn due(&self) -> Option<Micros> {
+        let calls = self.connections.values().flat_map(|c| c.calls.values());
+        let idle = self.connections.values().filter_map(Connection::idle_until);
+        calls.filter_map(Call::due).chain(idle).chain(self.office.flights.due()).min()
+    }
+
+    /// Looks at the clock: calls and connections whose clients have kept it waiting for too long are cut off.
+    pub fn expire(&mut self, now: Micros, core: &mut Core) {
+        for run in self.office.flights.expire(now) {
+            self.office.give_up(run, core);
+        }
+        let late = |at: Option<Micros>| at.is_some_and(|at| at <= now);
+        let (mut idle, mut moved) = (Vec::new(), Vec::new());
+        for (&id, connection) in &mut self.connections {
+            if late(connection.idle_until()) {
+                idle.push(id);
+            }
+            let mut any = false;
+            for call in connection.calls.values_mut().filter(|call| late(call.due())) {
+                any = true;
+                call.poll_over(now, &mut self.office, core);
+                if late(call.due()) {
+                    call.abandon(&mut self.office, core);
+                    call.expire(now);
+                }
+            }
+            if any {
+                moved.push(id);
+            }
+        }
+        idle.into_iter().for_each(|id| self.close(id, core));
+        // What was decided about these calls has to go out.
+        moved.into_iter().for_each(|id| self.ready(now, id, core));
+    }
+}
+
+impl Connection {
+    /// How long it is kept while there is no call on it.
+    fn idle_until(&self) -> Option<Micros> {
+        let rest = if matches!(self.state, State::Handshake(_)) { SLOWEST_HANDSHAKE } else { LONGEST_IDLE };
+        self.calls.is_empty().then_some(self.since + rest)
+    }
+
+    /// Goes on as far as the socket lets it; `false` when the connection is over.
+    fn ready(
+        &mut self,
+        now: Micros,
+        id: u64,
+        homes: &mut BTreeMap<u64, u64>,
+        office: &mut Office,
+        core: &mut Core,
+    ) -> bool {
+        loop {
+            self.flag.take();
+            let waker = self.waker.clone();
+            let alive = self.drive(now, id, &mut Context::from_waker(&waker), homes, office, core);
+            if !alive || !self.flag.take() {
+                return alive;
+            }
+        }
+    }
+
+    fn drive(
+        &mut self,
+        now: Micros,
+        home: u64,
+        cx: &mut Context<'_>,
+        homes: &mut BTreeMap<u64, u64>,
+        office: &mut Office,
+        core: &mut Core,
+    ) -> bool {
+        if let State::Handshake(handshake) = &mut self.state {
+            match handshake.as_mut().poll(cx) {
+                Poll::Pending => return true,
+                Poll::Ready(Err(e)) => {
+                    tracing::debug!("client speaks no HTTP/2: {e}");
+                    return false;
+                }
+                Poll::Ready(Ok(connection)) => self.state = State::Up(Box::new(connection)),
+            }
+        }
+        let State::Up(connection) = &mut self.state else { return true };
+        let mut over = false;
+        loop {
+            match connection.poll_accept(cx) {
+                Poll::Pending => break,
+                Poll::Ready(Some(Ok((request, respond)))) => {
+                    if let Some(call) = accept(now, request, respond, office) {
+                        let id = office.number();
+                        homes.insert(id, home);
+                        self.calls.insert(id, call);
+                    }
+                }
+                Poll::Ready(_) => {
+                    over = true;
+                    break;
+                }
+            }
+        }
+        let mut moved = false;
+        self.calls.retain(|&id, call| {
+            call.drive(now, id, cx, office, core);
+            if call.is_over() {
+                homes.remove(&id);
+                office.admission.call_over();
+                moved = true;
+            }
+            !call.is_over()
+        });
+        if moved {
+            self.since = now;
+        }
+        !over
+    }
+}
+
+/// Ends a stream with a status alone.
+fn refuse(status: &Status, extra: &[(&'static str, &'static str)], mut respond: SendResponse<Bytes>) {
+    let mut response = Response::new(());
+    let headers: &mut HeaderMap = response.headers_mut();
+    headers.insert("content-type", http::HeaderValue::from_static(grpc::CONTENT_TYPE));
+    for &(name, value) in extra {
+        headers.insert(name, http::HeaderValue::from_static(value));
+    }
+    headers.extend(status.trailers());
+    let _ = respond.send_response(response, true);
+}
+
+/// Takes a stream; `None` if it is answered at once.
+fn accept(
+    now: Micros,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    office: &mut Office,
+) -> Option<Call> {
+    let headers = request.headers();
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let kind = text("content-type").and_then(|kind| kind.strip_prefix(grpc::CONTENT_TYPE));
+    if request.method() != http::Method::POST
+        || !kind.is_some_and(|rest| rest.is_empty() || rest.starts_with(['+', ';']))
+    {
+        let response = Response::builder().status(415).body(()).ok()?;
+        let _ = respond.send_response(response, true);
+        return None;
+    }
+    let mut head = Head::default();
+    let mut understand = || -> Result<Method, Status> {
+        let method = Method::of(request.uri().path())
+            .ok_or_else(|| Status::new(Code::Unimplemented, "there is no such method here"))?;
+        head.timeout = match text("grpc-timeout") {
+            None => None,
+            Some(text) => {
+                Some(grpc::read_timeout(text).ok_or_else(|| methods::bad("grpc-timeout makes no sense"))?)
+            }
+        };
+        let encoding = text("grpc-encoding").map_or(Some(Encoding::Identity), Encoding::named);
+        head.encoding = encoding.ok_or_else(|| {
+            Status::new(Code::Unimplemented, "this grpc-encoding is not understood").because("ENCODING")
+        })?;
+        if method.asks_who() {
+            head.who = office.door.who(now, headers, &mut office.admission)?;
+        }
+        let options = head.who.session.and_then(|id| office.sessions.touch(now, id));
+        head.options = options.unwrap_or_default();
+        office.admission.call().map_err(|full| {
+            Status::new(Code::Unavailable, full.what).because("FULL").retry(full.retry_after)
+        })?;
+        Ok(method)
+    };
+    let method = match understand() {
+        Ok(method) => method,
+        Err(status) => {
+            refuse(&status, &[("grpc-accept-encoding", grpc::ACCEPTED)], respond);
+            return None;
+        }
+    };
+    let limits = *office.admission.limits();
+    let work = match method {
+        Method::DoPut => Work::Long(Box::new(Long::new(Form::Put, &limits))),
+        Method::DoExchange => Work::Long(Box::new(Long::new(Form::Exchange, &limits))),
+        method => Work::Request(method),
+    };
+    // A handshake by header lines alone is answered at once: its client may keep its side open.
+    let basic = text("authorization").map(str::to_owned);
+    let basic_headers = (method == Method::Handshake && basic.is_some()).then(|| headers.clone());
+    let mut call = Call::new(now, head, work, request, respond, (limits.message, limits.send_buffer));
+    if let Some(headers) = basic_headers {
+        match office.door.who(now, &headers, &mut office.admission) {
+            Ok(who) => {
+                let token = office.token(now, &who.user);
+                call.line("authorization", &format!("Bearer {token}"));
+                call.message(now, &mallowgauge_flight::proto::Handshake::default());
+                call.end(&Status::new(Code::Ok, ""));
+            }
+            Err(status) => call.fail(now, &status),
+        }
+    }
+    Some(call)
+}
+
+impl Call {
+    /// Goes on as far as it can.
+    fn drive(&mut self, now: Micros, id: u64, cx: &mut Context<'_>, office: &mut Office, core: &mut Core) {
+        match self.work {
+            Work::Request(method) => self.request(now, id, method, cx, office, core),
+            Work::Long(_) => {
+                if let Err(status) = self.long(now, id, cx, office, core) {
+                    self.abandon(office, core);
+                    self.fail(now, &status);
+                }
+            }
+            Work::Watch(told) if told != office.health() => {
+                self.work = Work::Watch(office.health());
+                self.message(now, &HealthCheckResponse { status: office.health() });
+                if office.draining {
+                    self.end(&Status::new(Code::Unavailable, "this gatherer ends"));
+                }
+            }
+            _ => {}
+        }
+        if !self.is_over() && self.is_reset(cx) {
+            self.abandon(office, core);
+            self.reset(h2::Reason::CANCEL);
+        }
+        loop {
+            let written = self.write(now, cx);
+            let Work::Long(long) = &mut self.work else { break };
+            long.batch.taken(written);
+            // What was taken makes room for more queries.
+            if written == 0 || !(long.reads() || long.begins()) {
+                break;
+            }
+            if let Err(status) = self.long(now, id, cx, office, core) {
+                self.abandon(office, core);
+                self.fail(now, &status);
+            }
+        }
+    }
+
+    fn request(
+        &mut self,
+        now: Micros,
+        id: u64,
+        method: Method,
+        cx: &mut Context<'_>,
+        office: &mut Office,
+        core: &mut Core,
+    ) {
+        let message = match self.read(now, cx) {
+            Ok(Read::Pending) => return,
+            Ok(Read::Message(message)) => Ok(message),
+            Ok(Read::End) => Err(methods::bad("the request is not one message")),
+            Err(status) => Err(status),
+        };
+        self.work = Work::Ending;
+        let begun = message.and_then(|message| self.start(now, id, method, &message, office, core));
+        if let Err(status) = begun {
+            self.fail(now, &status);
+        }
+    }
+
+    /// Reads queries off a long stream and begins those that may begin.
+    fn long(
+        &mut self,
+        now: Micros,
+        id: u64,
+        cx: &mut Context<'_>,
+        office: &mut Office,
+        core: &mut Core,
+    ) -> Result<(), Status> {
+        loop {
+            let Work::Long(long) = &mut self.work else { return Ok(()) };
+            if long.begins() {
+                let Some(said) = long.queue.pop_front() else { return Ok(()) };
+                self.begin(now, id, said, office, core)?;
+                continue;
+            }
+            if !long.reads() {
+                break;
+            }
+            match self.read(now, cx)? {
+                Read::Pending => break,
+                Read::Message(message) => {
+                    let Work::Long(long) = &mut self.work else { return Ok(()) };
+                    long.take(message)?;
+                }
+                Read::End => {
+                    let Work::Long(long) = &mut self.work else { return Ok(()) };
+                    long.settle(true);
+                    break;
+                }
+            }
+        }
+        let Work::Long(long) = &mut self.work else { return Ok(()) };
+        if long.batch.phase() == Phase::Over && long.queue.is_empty() {
+            let status = long.last.take().unwrap_or_else(|| Status::new(Code::Ok, ""));
+            self.end(&status);
+        }
+        Ok(())
+    }
+
+    /// Begins one query of a long stream, or cancels one.
+    fn begin(
+        &mut self,
+        now: Micros,
+        call: u64,
+        said: Said,
+        office: &mut Office,
+        core: &mut Core,
+    ) -> Result<(), Status> {
+        let left = self.left(now);
+        let options = self.head.options;
+        let user = Rc::clone(&self.head.who.user);
+        let Work::Long(long) = &mut self.work else { return Ok(()) };
+        let (tag, value) = match said {
+            Said::Query(tag, value) => (tag, value),
+            Said::Cancel(tag) => {
+                if let Some(caller) = long.batch.find(&tag) {
+                    let key = office.callers.get(&caller).map(|place| Key { user, id: Rc::clone(&place.id) });
+                    // One with an effect that may have run is not cancelled: its outcome will come.
+                    let touched = |run: RunId| core.touched(Asker::Flight(run.0));
+                    let cancel = key.as_ref().map(|key| office.flights.cancel(now, key, touched));
+                    match (cancel, key) {
+                        (Some(flights::Cancel::Cancelled(run, callers)), _) => {
+                            office.give_up(run, core);
+                            office.tell(callers, &Err(refusal(flights::Why::Cancelled)));
+                        }
+                        (Some(flights::Cancel::Unknown), Some(key)) => office.cancel_plain(&key, core),
+                        _ => {}
+                    }
+                }
+                return Ok(());
+            }
+        };
+        let over = |call: &mut Self, id: &str, outcome, office: &mut Office, core: &Core| {
+            call.deliver(now, &tag, id, outcome, office, core);
+        };
+        // The tag is taken first, so that its answer finds it.
+        match long.batch.begin(tag.clone(), Caller(0)) {
+            Ok(()) => {}
+            Err(Busy::Busy) => {
+                let status = Status::new(Code::AlreadyExists, "the tag stands for an open query");
+                return Err(status.because("TAG_IN_USE"));
+            }
+            Err(Busy::Closed) => {
+                let status =
+                    Status::new(Code::Unavailable, "this gatherer ends").because("DRAINING").retry(1);
+                over(self, "", Err(status), office, core);
+                return Ok(());
+            }
+        }
+        let command = match Command::from_value(value, core, &office.fresh()) {
+            Ok(command) => command,
+            Err(status) => {
+                over(self, "", Err(status), office, core);
+                return Ok(());
+            }
+        };
+        let ask = match command.ask(left, options.timeout, core) {
+            Ok(ask) => ask,
+            Err(status) => {
+                over(self, &command.id, Err(status), office, core);
+                return Ok(());
+            }
+        };
+        let key = Key { user, id: command.id.as_str().into() };
+        let effect = !core.is_harmless(command.class);
+        let spec = Spec { body: command.fingerprint(), effect, polled: false, made: None };
+        match office.submit(now, core, call, &tag, key, spec, ask) {
+            Submitted::Waiting(caller) => {
+                if let Work::Long(long) = &mut self.work {
+                    long.batch.known(&tag, caller);
+                }
+            }
+            Submitted::Over(outcome) => over(self, &command.id, outcome, office, core),
+        }
+        Ok(())
+    }
+
+    /// Nobody waits for what this call has asked any more.
+    fn abandon(&mut self, office: &mut Office, core: &mut Core) {
+        match &mut self.work {
+            Work::Waiting(Waiting { caller, .. }) => {
+                caller.take().into_iter().for_each(|caller| office.leave(caller, core));
+            }
+            Work::Long(long) => {
+                for (_, caller) in long.batch.abort() {
+                    office.leave(caller, core);
+                }
+                long.queue.clear();
+            }
+            _ => {}
+        }
+    }
+
+    /// The program ends.
+    fn drain(&mut self, _now: Micros) {
+        if let Work::Long(long) = &mut self.work {
+            long.batch.drain();
+            long.last =
+                Some(Status::new(Code::Unavailable, "this gatherer ends").because("DRAINING").retry(1));
+        }
+    }
+}
--- a/crates/edge/src/front/http.rs
+++ b/crates/edge/src/front/http.rs
@@ -398,7 +398,13 @@
 /// What the front's wire makes of a final answer.
 fn render(answer: &Answer) -> Reply {
     match answer {
-        Answer::Served { whole, values } => Reply(200, vec![], query::answer(*whole, values).to_string()),
+        Answer::Served { whole, values } => match query::answer(*whole, values) {
+            Ok(body) => Reply(200, vec![], body.to_string()),
+            Err(why) => {
+                tracing::warn!("an answer could not be written: {why}");
+                Reply(500, vec![], error("the answer could not be written"))
+            }
+        },
         Answer::Refused { retry_after, .. } => {
             let seconds = *retry_after as f64 / 1e6;
             let advice = (*retry_after > 0).then(|| ("Retry-After", format!("{seconds:.3}")));
@@ -406,6 +412,7 @@
         }
         Answer::Failed(Failure::Invalid(words)) => Reply(400, vec![], error(words)),
         Answer::Failed(Failure::Parts) => Reply(502, vec![], error("parts could not be had")),
+        Answer::Failed(Failure::Room) => Reply(502, vec![], error("the tables found no room")),
         Answer::Failed(Failure::TimeUp) => Reply(504, vec![], error("time ran out")),
     }
 }
--- a/crates/edge/src/front/query.rs
+++ b/crates/edge/src/front/query.rs
@@ -4,7 +4,9 @@
 
 use serde_json::{json, Value};
 
+use mallowgauge_core as core;
 use mallowgauge_core::{Ask, AskPart};
+use mallowgauge_flight::rows;
 use mallowgauge_router::{ClassId, Micros, ShardId};
 
 /// What stands beside the body: in headers on one wire, in the command on the other.
@@ -50,10 +52,19 @@
     Ok(Ask { id, class, expires_in, retry, work_hint: hint, text: text.as_bytes().into(), parts })
 }
 
-/// Writes the body of an answer.
-#[must_use]
-pub fn answer(whole: bool, values: &[(ShardId, Rc<str>)]) -> Value {
-    let answers: Vec<Value> =
-        values.iter().map(|(shard, value)| json!({"range": shard.0, "blob": **value})).collect();
-    json!({"total": whole, "answers": answers})
+/// Writes the body of an answer. Tables, which some hosts answer with, become texts of JSON: a list of their
+/// rows.
+///
+/// # Errors
+/// A table cannot be written so.
+pub fn answer(whole: bool, values: &[(ShardId, core::Value)]) -> Result<Value, String> {
+    let text = |(shard, value): &(ShardId, core::Value)| {
+        let blob = match value {
+            core::Value::Text(text) => Value::from(&**text),
+            core::Value::Table(table) => Value::from(rows::json(&table.schema, &table.messages)?),
+        };
+        Ok(json!({"range": shard.0, "blob": blob}))
+    };
+    let answers: Vec<Value> = values.iter().map(text).collect::<Result<_, String>>()?;
+    Ok(json!({"total": whole, "answers": answers}))
 }
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -8,38 +8,49 @@
 use crate::discovery::{Discovery, News, Roster};
 use crate::front::{flight, http};
 use crate::lifecycle::{Lifecycle, Phase};
+use crate::tls::Connector;
 use crate::token;
+use crate::upstream::flight::Terms;
 use crate::upstream::{Pool, Report};
-use mallowgauge_core::{Asker, Core, Effect};
+use mallowgauge_core::admission::Limits;
+use mallowgauge_core::budget::{self, Budget};
+use mallowgauge_core::{Asker, AttemptId, Core, Effect, Value};
+use mallowgauge_flight::schema;
 use mallowgauge_net::{Clock, Handle, Listener, Owner, Token};
-use mallowgauge_router::{ListNews, Micros, Phase as HostPhase, ServerEntry};
+use mallowgauge_router::{ListNews, Micros, Outcome, Phase as HostPhase, ServerEntry};
 use mallowgauge_settings::hosts::{parse, List};
 use mallowgauge_settings::zone;
 use mallowgauge_settings::Config;
 
 /// Descriptors kept for what is neither a client nor a host: the loop, discovery, listeners, the log.
 const RESERVED: usize = 16;
-/// The most that the buffers of one connection of a kind are reckoned to hold: 16 streams of a Flight
-/// client, and for a host a frame that comes and a call that goes.
-const FLIGHT_CLIENT_BYTES: usize = 1024 * 1024;
+/// The most that the buffers of one connection to a host are reckoned to hold: a frame that comes and a call
+/// that goes.
 const HOST_BYTES: usize = 128 * 1024;
 
 /// How many connections of each kind there may be, from the limits on descriptors and memory: all their
 /// buffers together, full, stay within seven eighths of the memory.
 struct Room {
     clients: usize,
-    flight_clients: usize,
     hosts: usize,
+    flight: Limits,
 }
 
 impl Room {
+    /// A quarter of the memory goes to hosts' connections, half to HTTP's. Where Flight is set up, it has
+    /// half of all, and the others share the rest in the same way.
     fn of(config: &Config) -> Self {
-        let (sockets, memory) = (config.links.sockets.saturating_sub(RESERVED), config.memory);
+        let sockets = config.links.sockets.saturating_sub(RESERVED);
+        let offered =
+            config.flight.listen.is_some() || config.flight.every_host || !config.flight.hosts.is_empty();
+        let share = if offered { 2 } else { 1 };
+        let memory = config.memory / share;
         let hosts = (sockets / 4).min(memory / 4 / HOST_BYTES).max(1);
-        let offered = usize::from(config.flight.listen.is_some());
-        let flight_clients = (sockets / 8).min(memory / 8 / FLIGHT_CLIENT_BYTES).max(1) * offered;
-        let clients = (sockets - hosts - flight_clients).min(memory / 2 / http::LARGEST).max(1);
-        Self { clients, flight_clients, hosts }
+        let streams = (hosts * config.links.streams).min(config.bounds.max_open);
+        let flight = Limits::of(config.memory / 2, if offered { sockets } else { 0 }, streams);
+        let taken = if config.flight.listen.is_some() { flight.connections } else { 0 };
+        let clients = (sockets - hosts).saturating_sub(taken).min(memory / 2 / http::LARGEST).max(1);
+        Self { clients, hosts, flight }
     }
 }
 
@@ -78,6 +89,7 @@
         let room = Room::of(&config);
         let clock = Clock::start();
         let zones = config.site.zones.clone();
+        let classes = config.site.classes.len();
         let core = Core::new(config.seed, config.site.settings, config.site.classes, config.bounds)
             .map_err(|e| e.to_string())?;
         let known = parse(&config.known).map_err(|e| format!("known: {e}"))?;
@@ -86,14 +98,24 @@
         let token = Token { kind: token::FLIGHT_LISTENER, id: 0 };
         let bind = |addr| Listener::bind(&handle, addr, token).map_err(|e| format!("{addr}: {e}"));
         let flight_listener = config.flight.listen.map(bind).transpose()?;
+        let limits = room.flight;
+        let bounds = budget::Bounds { total: limits.tables, most_a_call: limits.tables_a_call };
+        let terms = Terms {
+            budget: Budget::new(bounds),
+            window: limits.window,
+            most: limits.tables_a_call,
+            streams: config.links.streams,
+            tls: config.flight.host_tls.as_ref().map(Connector::new).transpose()?,
+        };
+        let setup = flight::Setup { limits, settings: &config.flight, seed: config.seed, classes };
         let mut gatherer = Self {
             clock,
             lifecycle: Lifecycle::default(),
             core,
             http: http::Front::new(room.clients),
-            flight: flight::Front::new(room.flight_clients, config.seed),
+            flight: flight::Front::new(&setup)?,
             flight_listener,
-            pool: Pool::new(config.links, config.flight.clone(), room.hosts),
+            pool: Pool::new(config.links, config.flight.clone(), room.hosts, terms),
             discovery: Discovery::new(config.discovery, known.generation),
             roster: Roster::default(),
             zones,
@@ -155,6 +177,7 @@
     fn step(&mut self) -> Phase {
         let now = self.clock.now();
         self.pool.expire(now);
+        self.pool.replenish(now);
         self.http.expire(now, &mut self.core);
         self.flight.expire(now, &mut self.core);
         if let Some(news) = self.discovery.expire(now) {
@@ -191,12 +214,25 @@
     fn collect(&mut self, now: Micros) {
         for report in self.pool.reports() {
             match report {
+                Report::Ended(id, Outcome::Served, Some(value)) => self.served(now, id, value),
                 Report::Ended(id, outcome, value) => self.core.outcome(now, id, outcome, value),
+                Report::Overrun(call) => self.core.overrun(call),
                 Report::Probed(server, passed) => self.core.probed(server, passed),
             }
         }
     }
 
+    /// A part was served. Its value counts if it agrees with those of the query that are in.
+    fn served(&mut self, now: Micros, id: AttemptId, value: Value) {
+        match schema::fits(self.core.value_beside(id), &value) {
+            Ok(()) => self.core.outcome(now, id, Outcome::Served, Some(value)),
+            Err(clash) => {
+                tracing::warn!("a table does not fit its answer: {clash}");
+                self.core.outcome(now, id, Outcome::Cut, None);
+            }
+        }
+    }
+
     fn effect(&mut self, now: Micros, effect: Effect) {
         match effect {
             Effect::Call(server, sends) => self.pool.call(now, &self.handle, server, sends),
@@ -204,7 +240,7 @@
             Effect::Probe(server) => self.pool.probe(now, &self.handle, server),
             Effect::Reply(Asker::Http(id), answer) => self.http.answer(now, id, &answer, &mut self.core),
             Effect::Reply(Asker::Flight(id), answer) => {
-                self.flight.answer(now, id, &answer, &mut self.core);
+                self.flight.answer(now, id, answer, &mut self.core);
             }
             Effect::Watch => {
                 let news = self.discovery.watch(now, &self.handle);
@@ -246,11 +282,17 @@
         });
     }
 
-    /// Reads the configuration again and moves discovery; all else in it counts from the next start. What
-    /// is open and what is known of hosts stays.
+    /// Reads the configuration again: discovery moves, Flight's certificates and users are replaced; all else
+    /// in it counts from the next start. What is open and what is known of hosts stays.
     fn reload(&mut self) {
         match (self.load)() {
             Ok(config) => {
+                let connector = config.flight.host_tls.as_ref().map(Connector::new).transpose();
+                let secured = connector.and_then(|tls| self.flight.reload(&config.flight).map(|()| tls));
+                match secured {
+                    Ok(tls) => self.pool.secure(tls),
+                    Err(e) => return tracing::warn!("configuration kept as it was: {e}"),
+                }
                 tracing::info!("configuration read again, discovery at {}", config.discovery);
                 let news = self.discovery.relocate(self.clock.now(), &self.handle, config.discovery);
                 news.into_iter().for_each(|news| self.news(news));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod front;
 pub mod gatherer;
 pub mod lifecycle;
+pub mod tls;
 pub mod upstream;
 pub mod wire;
 
--- a/crates/edge/src/upstream/flight.rs
+++ b/crates/edge/src/upstream/flight.rs
@@ -1,6 +1,9 @@
 //! Arrow Flight to hosts that offer it: each part is a `DoGet` of its own, so that one that hangs holds
 //! up no other. The tickets of one call name it, so that a host can do its common work once. A part is
 //! in only once its stream has ended with OK.
+//!
+//! What may be said of an attempt whose stream ends is decided in `core::truth`, and how much a host may send
+//! in `core::budget`: bytes beyond a stream's first window are let come only as far as the budget goes.
 
 use std::collections::VecDeque;
 use std::future::Future;
@@ -14,19 +17,36 @@
 use bytes::Bytes;
 use h2::client::{self, ResponseFuture, SendRequest};
 use h2::{Ping, PingPong, Reason, RecvStream, SendStream};
+use mallowgauge_core::budget::{Budget, CallId, Grant, StreamId};
+use mallowgauge_core::truth::{self, End, Stage};
+use mallowgauge_core::{AttemptId, Send, Table, Value};
+use mallowgauge_flight::grpc::{self, Code, Deframer, Encoding};
+use mallowgauge_flight::ipc::Collector;
+use mallowgauge_flight::proto::{FlightData, Ticket};
+use mallowgauge_flight::rows;
+use mallowgauge_net::Stream;
+use mallowgauge_router::*;
 use prost::Message;
 use serde_json::json;
 
+use crate::tls::{Connector, Session};
 use crate::upstream::{Report, SLOWEST_FRAME};
 use crate::wire::{Flag, Wire};
-use mallowgauge_core::{AttemptId, Send};
-use mallowgauge_flight::grpc::{self, Code, Deframer, FlightData, Ticket};
-use mallowgauge_flight::table::{Reader, Row};
-use mallowgauge_net::Stream;
-use mallowgauge_router::*;
 
-/// Longest answer to a part that is taken from a host.
-const LONGEST: usize = 256 * 1024;
+/// The bounds of what hosts may send.
+#[derive(Clone)]
+pub struct Terms {
+    /// The budget for tables.
+    pub budget: Budget,
+    /// The first window of a stream.
+    pub window: u32,
+    /// Most bytes of one part's table.
+    pub most: usize,
+    /// Most streams of a connection.
+    pub streams: usize,
+    /// TLS, where it is set.
+    pub tls: Option<Connector>,
+}
 
 type Handshake =
     Pin<Box<dyn Future<Output = Result<(SendRequest<Bytes>, client::Connection<Wire, Bytes>), h2::Error>>>>;
@@ -40,17 +60,27 @@
 /// A part that somebody still waits for.
 struct Call {
     attempt: AttemptId,
+    query: CallId,
+    stream: StreamId,
     shard: ShardId,
     sent: Micros,
     request: SendStream<Bytes>,
     response: Option<ResponseFuture>,
     body: Option<RecvStream>,
     frames: Deframer,
-    taken: usize,
+    /// Bytes that have come and whose place in the window was not given back.
+    held: usize,
+    /// Of these, so many wait for the budget.
+    waits: usize,
     /// Since when a message has come in part.
     partial: Option<Micros>,
-    reader: Reader,
-    rows: Vec<Row>,
+    columns: Option<Collector>,
+    stage: Stage,
+    window: usize,
+    /// The query's tables have outgrown their bound.
+    overrun: bool,
+    /// Why what came cannot be used.
+    why: String,
 }
 
 /// A connection that speaks Flight.
@@ -58,6 +88,7 @@
     server: ServerId,
     stream: Rc<Stream>,
     addr: SocketAddr,
+    terms: Terms,
     state: State,
     /// A connection that is not up by then is given up.
     until: Micros,
@@ -75,13 +106,6 @@
     used: Micros,
 }
 
-/// How a stream ended: with OK, so that its row counts, or otherwise.
-#[derive(Clone, Copy)]
-enum End {
-    Row,
-    Other(Outcome),
-}
-
 /// The ticket of a part, with the number of its call and how many parts that has.
 fn ticket(send: &Send, call: u64, parts: usize) -> Ticket {
     let text = String::from_utf8_lossy(&send.text);
@@ -93,12 +117,20 @@
 impl FlightLink {
     /// A connection that is being dialled.
     #[must_use]
-    pub fn new(server: ServerId, stream: Stream, now: Micros, until: Micros, addr: SocketAddr) -> Self {
+    pub fn new(
+        server: ServerId,
+        stream: Stream,
+        now: Micros,
+        until: Micros,
+        addr: SocketAddr,
+        terms: Terms,
+    ) -> Self {
         let (flag, waker) = Flag::waker();
         Self {
             server,
             stream: Rc::new(stream),
             addr,
+            terms,
             state: State::Dialling,
             until,
             bytes_came: Arc::default(),
@@ -132,10 +164,11 @@
         !self.closing
     }
 
-    /// Since when something has been out with nothing heard.
+    /// Since when something has been out with nothing heard. A host whose window is shut has nothing to say.
     #[must_use]
     pub fn silent_since(&self) -> Option<Micros> {
-        self.calls.iter().map(|call| call.sent.max(self.heard)).min()
+        let speaks = self.calls.iter().filter(|call| call.waits == 0);
+        speaks.map(|call| call.sent.max(self.heard)).min()
     }
 
     /// Sends a call; `false` when the connection is over.
@@ -150,15 +183,30 @@
         self.queue.iter_mut().for_each(|sends| sends.retain(|send| send.attempt != attempt));
         self.queue.retain(|sends| !sends.is_empty());
         let before = self.calls.len();
+        let budget = &self.terms.budget;
         self.calls.retain_mut(|call| {
             if call.attempt == attempt {
                 call.request.send_reset(Reason::CANCEL);
+                budget.close(call.stream);
             }
             call.attempt != attempt
         });
         before == self.calls.len() || self.ready(now, reports)
     }
 
+    /// The budget lets a stream go on; `None` if it is not one of this connection's.
+    pub fn grant(
+        &mut self,
+        now: Micros,
+        stream: StreamId,
+        bytes: usize,
+        reports: &mut Vec<Report>,
+    ) -> Option<bool> {
+        let call = self.calls.iter_mut().find(|call| call.stream == stream)?;
+        call.release(bytes);
+        Some(self.ready(now, reports))
+    }
+
     /// Probes the host with a ping of HTTP/2.
     pub fn probe(&mut self, now: Micros, until: Micros, reports: &mut Vec<Report>) -> bool {
         self.used = now;
@@ -176,10 +224,20 @@
                 Some(false) => return false,
                 Some(true) => {}
             }
-            let (wire, bytes_came) = Wire::new(Rc::clone(&self.stream));
+            let session = match self.terms.tls.as_ref().map(|tls| tls.connect(self.addr)).transpose() {
+                Ok(session) => session.map(Session::Client),
+                Err(e) => {
+                    tracing::warn!("host {}: no TLS: {e}", self.server.0);
+                    return false;
+                }
+            };
+            let (wire, bytes_came) = Wire::new(Rc::clone(&self.stream), session);
             self.bytes_came = bytes_came;
+            let window = self.terms.window;
+            // A stream that waits for the budget keeps its window's bytes; the others go on beside it.
+            let all = window.saturating_mul(u32::try_from(self.terms.streams).unwrap_or(u32::MAX) + 1);
             let mut builder = client::Builder::new();
-            builder.initial_window_size(LONGEST as u32).initial_connection_window_size(2 * LONGEST as u32);
+            builder.initial_window_size(window).initial_connection_window_size(all.min(1 << 30));
             builder.enable_push(false);
             self.state = State::Handshake(Box::pin(builder.handshake(wire)));
         }
@@ -214,7 +272,8 @@
         while let Some(sends) = self.queue.pop_front() {
             self.next_call += 1;
             for send in &sends {
-                match Call::begin(send, (self.next_call, sends.len()), now, self.addr, sender, cx) {
+                let place = (self.next_call, sends.len());
+                match Call::begin(send, place, now, self.addr, sender, &self.terms, cx) {
                     Ok(call) => self.calls.push(call),
                     Err(e) => {
                         // Nothing of it was written.
@@ -234,14 +293,17 @@
             reports.push(Report::Probed(self.server, true));
         }
         self.closing |= matches!(sender.poll_ready(cx), Poll::Ready(Err(_)));
-        let server = self.server;
-        self.calls.retain_mut(|call| match call.poll(cx) {
+        let (server, terms) = (self.server, &self.terms);
+        self.calls.retain_mut(|call| match call.poll(cx, &terms.budget) {
             Poll::Pending => {
-                call.partial = (!call.frames.is_empty()).then(|| call.partial.unwrap_or(now));
+                // A host that may not send more is not the one that keeps a message from becoming whole.
+                let waits = call.waits > 0;
+                let since = if waits { now } else { call.partial.unwrap_or(now) };
+                call.partial = (!call.frames.is_empty()).then_some(since);
                 true
             }
             Poll::Ready(end) => {
-                call.report(server, end, reports);
+                call.report(server, end, &terms.budget, reports);
                 false
             }
         });
@@ -255,7 +317,8 @@
             return Some(self.until);
         }
         let rest = self.calls.is_empty().then_some(self.used + idle);
-        let partial = self.calls.iter().filter_map(|call| call.partial).min().map(|at| at + SLOWEST_FRAME);
+        let comes = self.calls.iter().filter(|call| call.waits == 0);
+        let partial = comes.filter_map(|call| call.partial).min().map(|at| at + SLOWEST_FRAME);
         self.probe.map(|(until, _)| until).into_iter().chain(rest).chain(partial).min()
     }
 
@@ -270,14 +333,14 @@
             self.closing = true;
             reports.push(Report::Probed(self.server, false));
         }
-        let server = self.server;
+        let (server, budget) = (self.server, &self.terms.budget);
         let before = self.calls.len();
         self.calls.retain_mut(|call| {
-            let stays = call.partial.is_none_or(|at| at + SLOWEST_FRAME > now);
+            let stays = call.waits > 0 || call.partial.is_none_or(|at| at + SLOWEST_FRAME > now);
             if !stays {
                 tracing::warn!("host {}: a message that does not become whole", server.0);
                 call.request.send_reset(Reason::CANCEL);
-                call.report(server, End::Other(Outcome::Cut), reports);
+                call.report(server, End::Stalled, budget, reports);
             }
             stays
         });
@@ -288,14 +351,28 @@
     /// The connection is over: calls that were not begun have never run, the rest may have.
     pub fn end(&mut self, reports: &mut Vec<Report>) {
         let never = self.queue.drain(..).flatten().map(|send| send.attempt);
-        reports.extend(never.map(|id| Report::Ended(id, Outcome::NoRoute, None)));
-        for call in self.calls.drain(..) {
-            call.report(self.server, End::Other(Outcome::Cut), reports);
+        let outcome = truth::verdict(Stage::Queued, End::Broken).outcome;
+        reports.extend(never.map(|id| Report::Ended(id, outcome, None)));
+        for mut call in self.calls.drain(..) {
+            call.report(self.server, End::Broken, &self.terms.budget, reports);
         }
         reports.extend(self.probe.take().map(|_| Report::Probed(self.server, false)));
     }
 }
 
+impl Drop for FlightLink {
+    fn drop(&mut self) {
+        self.calls.iter().for_each(|call| self.terms.budget.close(call.stream));
+    }
+}
+
+/// Numbers for streams, of all connections.
+fn next_stream() -> StreamId {
+    use std::sync::atomic::AtomicU64;
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    StreamId(NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 impl Call {
     fn begin(
         send: &Send,
@@ -303,123 +380,218 @@
         now: Micros,
         addr: SocketAddr,
         sender: &mut SendRequest<Bytes>,
+        terms: &Terms,
         cx: &mut Context<'_>,
     ) -> Result<Self, h2::Error> {
         if let Poll::Ready(Err(e)) = sender.poll_ready(cx) {
             return Err(e);
         }
-        let request = http::Request::post(format!("http://{addr}{}DoGet", grpc::SERVICE))
+        let scheme = if terms.tls.is_some() { "https" } else { "http" };
+        let request = http::Request::post(format!("{scheme}://{addr}{}DoGet", grpc::SERVICE))
             .header("content-type", grpc::CONTENT_TYPE)
             .header("te", "trailers")
             .header("grpc-timeout", grpc::write_timeout(send.wait))
+            .header("grpc-accept-encoding", grpc::ACCEPTED)
             .body(())
             .map_err(|_| Reason::INTERNAL_ERROR)?;
         let (response, mut request) = sender.send_request(request, false)?;
         request.send_data(grpc::frame(&ticket(send, call, parts)).into(), true)?;
+        let stream = next_stream();
+        terms.budget.open(stream, send.call);
         Ok(Self {
             attempt: send.attempt,
+            query: send.call,
+            stream,
             shard: send.shard,
             sent: now,
             request,
             response: Some(response),
             body: None,
-            frames: Deframer::new(LONGEST),
-            taken: 0,
+            frames: Deframer::new(terms.most),
+            held: 0,
+            waits: 0,
             partial: None,
-            reader: Reader::default(),
-            rows: Vec::new(),
+            columns: Some(Collector::new(terms.most.saturating_mul(4))),
+            stage: Stage::Sent,
+            window: terms.window as usize,
+            overrun: false,
+            why: String::new(),
         })
     }
 
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<End> {
-        let fault = Poll::Ready(End::Other(Outcome::Fault));
+    /// Lets the host send so many bytes more.
+    fn release(&mut self, bytes: usize) {
+        self.held -= bytes.min(self.held);
+        self.waits = self.waits.saturating_sub(bytes);
+        if let Some(body) = &mut self.body {
+            let _ = body.flow_control().release_capacity(bytes);
+        }
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>, budget: &Budget) -> Poll<End> {
         if let Some(response) = &mut self.response {
             match Pin::new(response).poll(cx) {
                 Poll::Pending => return Poll::Pending,
-                Poll::Ready(Err(e)) => return Poll::Ready(End::Other(of_error(&e))),
+                Poll::Ready(Err(e)) => return Poll::Ready(of_error(&e)),
                 Poll::Ready(Ok(response)) => {
                     if response.status() != http::StatusCode::OK {
-                        return fault;
+                        return Poll::Ready(End::Status);
                     }
-                    if let Some(code) = grpc::status_of(response.headers()) {
-                        return Poll::Ready(of_status(code));
+                    if let Some(end) = of_status(response.headers()) {
+                        return Poll::Ready(end);
                     }
+                    self.stage = Stage::Answering;
+                    let encoding = response.headers().get("grpc-encoding").and_then(|v| v.to_str().ok());
+                    let Some(encoding) = encoding.map_or(Some(Encoding::Identity), Encoding::named) else {
+                        return Poll::Ready(End::Spoilt);
+                    };
+                    let frames = std::mem::replace(&mut self.frames, Deframer::new(0));
+                    self.frames = frames.encoded(encoding);
                     self.response = None;
                     self.body = Some(response.into_body());
                 }
             }
         }
         loop {
-            let Some(body) = &mut self.body else { return fault };
+            let Some(body) = &mut self.body else { return Poll::Ready(End::Status) };
             match body.poll_data(cx) {
                 Poll::Pending => return Poll::Pending,
-                Poll::Ready(Some(Err(e))) => return Poll::Ready(End::Other(of_error(&e))),
+                Poll::Ready(Some(Err(e))) => return Poll::Ready(of_error(&e)),
                 Poll::Ready(Some(Ok(bytes))) => {
-                    // What is released here is what the host may send next.
-                    let _ = body.flow_control().release_capacity(bytes.len());
-                    self.taken += bytes.len();
+                    self.held += bytes.len();
                     self.frames.push(&bytes);
-                    if self.taken > LONGEST || self.take().is_err() {
-                        return Poll::Ready(End::Other(Outcome::Cut));
+                    if let Err(why) = self.take() {
+                        self.why = why;
+                        return Poll::Ready(End::Spoilt);
+                    }
+                    if !self.draw(budget) {
+                        return Poll::Ready(End::Spoilt);
                     }
                 }
                 Poll::Ready(None) => break,
             }
         }
-        let Some(body) = &mut self.body else { return fault };
+        let Some(body) = &mut self.body else { return Poll::Ready(End::Status) };
         match body.poll_trailers(cx) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Err(e)) => Poll::Ready(End::Other(of_error(&e))),
+            Poll::Ready(Err(e)) => Poll::Ready(of_error(&e)),
             // Without trailers or with half a message the stream was cut short, whatever it held.
-            Poll::Ready(Ok(map)) => match map.as_ref().and_then(grpc::status_of) {
-                Some(code) if self.frames.is_empty() => Poll::Ready(of_status(code)),
-                _ => Poll::Ready(End::Other(Outcome::Cut)),
-            },
+            Poll::Ready(Ok(map)) => Poll::Ready(match map.as_ref().and_then(of_status) {
+                Some(End::Ok) if self.frames.is_empty() => {
+                    self.stage = Stage::Whole;
+                    End::Ok
+                }
+                Some(end) if end != End::Ok => end,
+                _ => End::Reset,
+            }),
+        }
+    }
+
+    /// Draws from the budget for what the host may send beyond its first window; `false` where the query's
+    /// tables outgrow their bound. Nothing is drawn before half of the first window has come: most answers
+    /// are smaller than that.
+    fn draw(&mut self, budget: &Budget) -> bool {
+        let fresh = self.held - self.waits;
+        if fresh < self.window / 2 {
+            return true;
+        }
+        match budget.want(self.stream, fresh) {
+            Grant::Now => {
+                // What waited before is part of the grant.
+                let all = fresh + self.waits;
+                self.release(all);
+                true
+            }
+            Grant::Wait => {
+                self.waits += fresh;
+                true
+            }
+            Grant::Over => {
+                self.overrun = true;
+                false
+            }
         }
     }
 
     fn take(&mut self) -> Result<(), String> {
-        while let Some(message) = self.frames.take()? {
+        while let Some(message) = self.frames.take().map_err(|bad| format!("{bad:?}"))? {
             let data = FlightData::decode(message).map_err(|e| e.to_string())?;
-            self.rows.extend(self.reader.take(&data)?);
+            self.columns.as_mut().ok_or("nothing more is due")?.take(data)?;
         }
         Ok(())
     }
 
-    fn report(&self, server: ServerId, end: End, reports: &mut Vec<Report>) {
-        let (outcome, value) = match (end, self.rows.as_slice()) {
-            (End::Other(outcome), _) => (outcome, None),
-            (End::Row, [row]) if row.shard == self.shard => (row.outcome, Some(Rc::clone(&row.value))),
-            (End::Row, _) => {
-                tracing::warn!("host {}: not one row for shard {}", server.0, self.shard.0);
-                (Outcome::Cut, None)
+    /// Says how the part ended.
+    fn report(&mut self, server: ServerId, end: End, budget: &Budget, reports: &mut Vec<Report>) {
+        let mut outcome = truth::verdict(self.stage, end).outcome;
+        let mut value = None;
+        if outcome == Outcome::Served {
+            match self.value(budget) {
+                Ok((said, found)) => (outcome, value) = (said, found),
+                Err(Some(why)) => {
+                    tracing::warn!("host {}: no answer for shard {}: {why}", server.0, self.shard.0);
+                    outcome = Outcome::Cut;
+                }
+                Err(None) => reports.push(Report::Overrun(self.query)),
             }
-        };
-        let value = value.filter(|_| outcome == Outcome::Served);
+        } else if end == End::Spoilt {
+            // The stream goes on; nobody listens to it any more.
+            self.request.send_reset(Reason::CANCEL);
+            if self.overrun {
+                reports.push(Report::Overrun(self.query));
+            } else {
+                tracing::warn!("host {}: no answer for shard {}: {}", server.0, self.shard.0, self.why);
+            }
+        }
+        budget.close(self.stream);
         reports.push(Report::Ended(self.attempt, outcome, value));
     }
+
+    /// The part's value: of the simple form, or a table that is kept as it is. `None` for no room.
+    fn value(&mut self, budget: &Budget) -> Result<(Outcome, Option<Value>), Option<String>> {
+        let columns = self.columns.take().ok_or_else(|| Some("nothing came".to_owned()))?;
+        let simple = columns.schema().is_some_and(rows::is_simple);
+        let table = columns.finish().ok_or_else(|| Some("no table came".to_owned()))?;
+        if simple {
+            let rows = rows::read(&table.schema, &table.messages).map_err(Some)?;
+            let [row] = rows.as_slice() else { return Err(Some("not one row".to_owned())) };
+            if row.shard != self.shard {
+                return Err(Some("a row of another shard".to_owned()));
+            }
+            let value = (row.outcome == Outcome::Served).then(|| Value::Text(Rc::clone(&row.value)));
+            return Ok((row.outcome, value));
+        }
+        let lease = budget.keep(self.stream, table.bytes).ok_or(None)?;
+        let (schema, messages, rows) = (table.schema, table.messages, table.rows);
+        Ok((Outcome::Served, Some(Value::Table(Rc::new(Table { schema, messages, rows, lease })))))
+    }
 }
 
-/// A status proves nothing about the part: one that failed may have run.
-fn of_status(code: u32) -> End {
-    if code == Code::Ok as u32 {
-        End::Row
+/// What a status says, if there is one. A status proves nothing about the part but where it says `LATER`.
+fn of_status(map: &http::HeaderMap) -> Option<End> {
+    let code = grpc::status_of(map)?;
+    Some(if code == Code::Ok as u32 {
+        End::Ok
     } else if code == Code::DeadlineExceeded as u32 {
-        End::Other(Outcome::TimedOut)
+        End::Deadline
+    } else if grpc::details_of(map).0.as_deref() == Some(grpc::LATER) {
+        End::Later
     } else {
-        End::Other(Outcome::Fault)
-    }
+        End::Status
+    })
 }
 
 /// Only a stream that the host has refused, or one above the last that its GOAWAY names, has never run.
 /// `h2` gives the host's GOAWAY as the reason to those above it alone: it ends them while it reads the
 /// frame, and ends the others with the connection's own error.
-fn of_error(e: &h2::Error) -> Outcome {
-    let refused = e.is_reset() && e.is_remote() && e.reason() == Some(Reason::REFUSED_STREAM);
-    let above = e.is_go_away() && e.is_remote();
-    if refused || above {
-        Outcome::NoRoom
+fn of_error(e: &h2::Error) -> End {
+    if e.is_reset() && e.is_remote() && e.reason() == Some(Reason::REFUSED_STREAM) {
+        End::Refused
+    } else if e.is_go_away() && e.is_remote() {
+        End::Above
+    } else if e.is_reset() {
+        End::Reset
     } else {
-        Outcome::Cut
+        End::Broken
     }
 }
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -6,9 +6,8 @@
 
 pub use pool::{Link, Pool};
 
-use std::rc::Rc;
-
-use mallowgauge_core::AttemptId;
+use mallowgauge_core::budget::CallId;
+use mallowgauge_core::{AttemptId, Value};
 use mallowgauge_router::{Micros, Outcome, ServerId};
 
 /// A frame or message that has begun to come has to be whole within this time.
@@ -18,7 +17,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Report {
     /// An attempt has ended, with its value if it was served.
-    Ended(AttemptId, Outcome, Option<Rc<str>>),
+    Ended(AttemptId, Outcome, Option<Value>),
+    /// The tables of a query have no room in memory.
+    Overrun(CallId),
     /// A probe came back.
     Probed(ServerId, bool),
 }
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use crate::token;
-use crate::upstream::flight::FlightLink;
+use crate::upstream::flight::{FlightLink, Terms};
 use crate::upstream::frames::{self, Said};
 use crate::upstream::{Report, SLOWEST_FRAME};
 use mallowgauge_core::{AttemptId, Send};
@@ -37,6 +37,7 @@
     next: u64,
     most: usize,
     reports: Vec<Report>,
+    terms: Terms,
 }
 
 /// A connection on either wire.
@@ -109,9 +110,9 @@
 impl Pool {
     /// A pool of at most `most` connections.
     #[must_use]
-    pub fn new(links: Links, flight: Flight, most: usize) -> Self {
+    pub fn new(links: Links, flight: Flight, most: usize, terms: Terms) -> Self {
         let (hosts, connections, reports) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
-        Self { links, flight, hosts, connections, next: 1, most, reports }
+        Self { links, flight, hosts, connections, next: 1, most, reports, terms }
     }
 
     /// What discovery tells of a host.
@@ -194,7 +195,7 @@
             Ok(stream) => {
                 tracing::debug!("host {}: dialling {addr}", server.0);
                 let link = if flight {
-                    Link::Flight(FlightLink::new(server, stream, now, until, addr))
+                    Link::Flight(FlightLink::new(server, stream, now, until, addr, self.terms.clone()))
                 } else {
                     Link::Frames(FrameLink::new(server, stream, now, until))
                 };
@@ -244,6 +245,35 @@
         (self.links.idle as f64 * IDLE_SHARE) as Micros
     }
 
+    /// Lets hosts go on for which the budget has room again, and says which query has to give way where
+    /// nothing else would bring the others on.
+    pub fn replenish(&mut self, now: Micros) {
+        if !self.terms.budget.waits() {
+            return;
+        }
+        for (stream, bytes) in self.terms.budget.granted() {
+            let ids: Vec<u64> = self.connections.keys().copied().collect();
+            for id in ids {
+                let mut found = false;
+                self.with(id, |c, reports| {
+                    let Link::Flight(link) = &mut c.link else { return true };
+                    let alive = link.grant(now, stream, bytes, reports);
+                    found = alive.is_some();
+                    alive.unwrap_or(true)
+                });
+                if found {
+                    break;
+                }
+            }
+        }
+        self.reports.extend(self.terms.budget.victim().map(Report::Overrun));
+    }
+
+    /// Other TLS settings for connections from now on.
+    pub fn secure(&mut self, tls: Option<crate::tls::Connector>) {
+        self.terms.tls = tls;
+    }
+
     /// When a connection has to be looked at.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -1,16 +1,17 @@
-//! Lets `h2` read and write a socket of the event loop. No runtime: a connection polls `h2` when its
-//! socket is ready, and again for as long as `h2` asks for that.
+//! Lets `h2` read and write a socket of the event loop, in the clear or through TLS. No runtime: a connection
+//! polls `h2` when its socket is ready, and again for as long as `h2` asks for that.
 
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, Read, Write};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll, Wake, Waker};
 
+use mallowgauge_net::Stream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use mallowgauge_net::Stream;
+use crate::tls::{Session, ALPN};
 
 /// Says whether `h2` wants to be polled again.
 #[derive(Debug, Default)]
@@ -38,54 +39,168 @@
 
 /// A socket as `h2` sees it.
 pub struct Wire {
+    socket: Socket,
+    tls: Option<Session>,
+}
+
+/// The socket as rustls sees it.
+struct Socket {
     stream: Rc<Stream>,
     heard: Arc<AtomicBool>,
 }
 
+impl Read for Socket {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match self.stream.read_once(buffer) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                read => {
+                    self.heard.fetch_or(read.as_ref().is_ok_and(|&n| n > 0), Ordering::Relaxed);
+                    return read;
+                }
+            }
+        }
+    }
+}
+
+impl Write for Socket {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self.stream.write(bytes) {
+            Ok(0) if !bytes.is_empty() => Err(ErrorKind::WouldBlock.into()),
+            done => done,
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn blocked<T>(result: io::Result<T>) -> Poll<io::Result<T>> {
+    match result {
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Poll::Pending,
+        result => Poll::Ready(result),
+    }
+}
+
+macro_rules! either {
+    ($session:expr, $inner:ident => $act:expr) => {
+        match $session {
+            Session::Server($inner) => $act,
+            Session::Client($inner) => $act,
+        }
+    };
+}
+
+impl Session {
+    /// Sends what is encrypted and waits; `true` once nothing does.
+    fn flush(&mut self, socket: &mut Socket) -> io::Result<bool> {
+        either!(self, session => {
+            while session.wants_write() {
+                match session.write_tls(socket) {
+                    Ok(_) => {}
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                    Err(e) => return Err(e),
+                }
+            }
+            Ok(true)
+        })
+    }
+
+    fn read(&mut self, socket: &mut Socket, buffer: &mut [u8]) -> io::Result<usize> {
+        loop {
+            let plain = either!(self, session => session.reader().read(buffer));
+            match plain {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                // A side that ends without saying so has been cut off; what HTTP/2 needs to know of its
+                // streams it knows from them.
+                Err(e) if e.kind() == ErrorKind::UnexpectedEof => return Ok(0),
+                plain => return plain,
+            }
+            let came = either!(self, session => session.read_tls(socket))?;
+            let taken = either!(self, session => session.process_new_packets().map(|_| ()));
+            // What there is to say, an alert for what was wrong included, goes out first.
+            self.flush(socket)?;
+            taken.map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+            let agreed = either!(self, session => {
+                session.is_handshaking() || session.alpn_protocol() == Some(ALPN)
+            });
+            if !agreed {
+                return Err(io::Error::new(ErrorKind::InvalidData, "no agreement on h2"));
+            }
+            if came == 0 {
+                return Ok(0);
+            }
+        }
+    }
+
+    fn write(&mut self, socket: &mut Socket, bytes: &[u8]) -> io::Result<usize> {
+        let taken = either!(self, session => session.writer().write(bytes))?;
+        let empty = self.flush(socket)?;
+        if taken > 0 || bytes.is_empty() {
+            return Ok(taken);
+        }
+        // The buffer was full; with all of it out there is room again.
+        if empty {
+            return either!(self, session => session.writer().write(bytes));
+        }
+        Err(ErrorKind::WouldBlock.into())
+    }
+}
+
 impl Wire {
     /// Wraps a connected socket; the flag says that bytes have come since it was last lowered.
     #[must_use]
-    pub fn new(stream: Rc<Stream>) -> (Self, Arc<AtomicBool>) {
+    pub fn new(stream: Rc<Stream>, tls: Option<Session>) -> (Self, Arc<AtomicBool>) {
         let heard = Arc::new(AtomicBool::new(false));
-        (Self { stream, heard: Arc::clone(&heard) }, heard)
+        let socket = Socket { stream, heard: Arc::clone(&heard) };
+        (Self { socket, tls }, heard)
     }
 }
 
 impl AsyncRead for Wire {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        loop {
-            match self.stream.read_once(buffer.initialize_unfilled()) {
-                Ok(n) => {
-                    self.heard.fetch_or(n > 0, Ordering::Relaxed);
-                    buffer.advance(n);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Poll::Pending,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        let Self { socket, tls } = &mut *self;
+        let room = buffer.initialize_unfilled();
+        let read = match tls {
+            None => socket.read(room),
+            Some(session) => session.read(socket, room),
+        };
+        blocked(read.map(|n| buffer.advance(n)))
     }
 }
 
 impl AsyncWrite for Wire {
-    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        match self.stream.write(bytes) {
-            Ok(0) if !bytes.is_empty() => Poll::Pending,
-            done => Poll::Ready(done),
-        }
+    fn poll_write(mut self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let Self { socket, tls } = &mut *self;
+        blocked(match tls {
+            None => socket.write(bytes),
+            Some(session) => session.write(socket, bytes),
+        })
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Self { socket, tls } = &mut *self;
+        match tls.as_mut().map_or(Ok(true), |session| session.flush(socket)) {
+            Ok(true) => Poll::Ready(Ok(())),
+            Ok(false) => Poll::Pending,
+            Err(e) => Poll::Ready(Err(e)),
+        }
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream.finish();
+    fn poll_shutdown(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Self { socket, tls } = &mut *self;
+        if let Some(session) = tls {
+            either!(session, inner => inner.send_close_notify());
+            if !matches!(session.flush(socket), Ok(true) | Err(_)) {
+                return Poll::Pending;
+            }
+        }
+        socket.stream.finish();
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/edge/tests/parts.rs
+++ b/crates/edge/tests/parts.rs
@@ -6,8 +6,10 @@
 use mallowgauge_edge::front::http1;
 use mallowgauge_edge::lifecycle::Lifecycle;
 use mallowgauge_edge::upstream::frames;
-use mallowgauge_flight::grpc::{Deframer, FlightData};
-use mallowgauge_flight::table::{answer, Reader};
+use mallowgauge_flight::answer::{Stream, Style};
+use mallowgauge_flight::grpc::Deframer;
+use mallowgauge_flight::proto::FlightData;
+use mallowgauge_flight::{ipc, rows};
 use mallowgauge_router::ShardId;
 use mallowgauge_settings::hosts::parse;
 use mallowgauge_testkit::inner::inside;
@@ -217,7 +219,10 @@
 // Guards the process against its input: no bytes, however bent, make a parser panic or read for ever.
 #[test]
 fn bent_input_is_taken_or_turned_down() {
-    let table = answer(true, &[(ShardId(3), "5be2a07c19f04d63".into())]).expect("a table");
+    let values = [(ShardId(3), "5be2a07c19f04d63".into())];
+    let mut stream = Stream::new(&values, Style::default()).expect("a table");
+    let message = || stream.message().expect("a message").map(|pieces| pieces.concat());
+    let table = std::iter::from_fn(message).collect::<Vec<_>>().concat();
     let samples: [&[u8]; 5] = [
         b"POST /api HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 4\r\n\r\n{}{}",
         b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\n{}\r\n0\r\nA: b\r\n\r\n",
@@ -243,13 +248,21 @@
         }
         taken[1] += u32::from(matches!(http1::response(&bytes, true), Ok(Some(_))));
         taken[2] += u32::from(matches!(frames::read(&bytes), Ok(Some(_))));
-        let (mut messages, mut reader) = (Deframer::new(1 << 16), Reader::default());
+        let (mut messages, mut reader) = (Deframer::new(1 << 16), ipc::Collector::new(1 << 20));
         messages.push(&bytes);
         while let Ok(Some(message)) = messages.take() {
             let Ok(data) = FlightData::decode(Bytes::from(message.to_vec())) else { break };
             taken[3] += 1;
-            // A client's table has no column `end`, so that even the sound one is turned down.
-            drop(reader.take(&data));
+            if reader.take(data).is_err() {
+                break;
+            }
+        }
+        // What passes the checks is passed on, and decoded by whoever gets it.
+        if let Some(table) = reader.finish() {
+            for message in &table.messages {
+                ipc::with_range(message, ShardId(3)).expect("a batch that was checked");
+            }
+            drop(rows::decode(&table.schema, &table.messages));
         }
     }
     // Enough of each kind stays sound for the parsers to get beyond their first lines.
--- a/crates/flight/src/grpc.rs
+++ b/crates/flight/src/grpc.rs
@@ -1,45 +1,77 @@
-//! gRPC over HTTP/2 as far as Flight needs it: message framing, time-outs, statuses, and the messages.
+//! gRPC over HTTP/2 as far as Flight needs it: message framing and compression, time-outs, statuses.
+
+use std::borrow::Cow;
+use std::collections::HashMap;
+use std::io::{Read, Write};
 
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use base64::Engine;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use flate2::read::GzDecoder;
+use flate2::write::GzEncoder;
+use flate2::Compression;
 use http::{HeaderMap, HeaderValue};
+use mallowgauge_router::Micros;
 use prost::Message;
+use prost_types::Any;
 
-use mallowgauge_router::Micros;
+use crate::proto::{ErrorInfo, RetryInfo, RpcStatus};
 
 /// Where the methods of Flight live.
 pub const SERVICE: &str = "/arrow.flight.protocol.FlightService/";
+/// Where health is asked for.
+pub const HEALTH: &str = "/grpc.health.v1.Health/";
 /// The content type of gRPC.
 pub const CONTENT_TYPE: &str = "application/grpc";
 
-/// The statuses that are used here, by their numbers in gRPC.
+/// The statuses of gRPC, by their numbers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u32)]
 pub enum Code {
     /// Done.
     Ok = 0,
+    /// The call was cancelled.
+    Cancelled = 1,
     /// The request makes no sense.
     InvalidArgument = 3,
     /// The time ran out.
     DeadlineExceeded = 4,
+    /// What is asked for is not, or no longer, known.
+    NotFound = 5,
+    /// It is known under this name, as something else.
+    AlreadyExists = 6,
+    /// The user may not.
+    PermissionDenied = 7,
     /// Refused, though other work for it may have run.
     ResourceExhausted = 8,
-    /// There is no such method here.
+    /// It may have been done before, and is not done again.
+    FailedPrecondition = 9,
+    /// It was given up.
+    Aborted = 10,
+    /// There is no such method here, or no such encoding.
     Unimplemented = 12,
     /// It failed, and may have had an effect.
     Internal = 13,
     /// Refused before anything was done.
     Unavailable = 14,
+    /// Who asks is not known.
+    Unauthenticated = 16,
 }
 
+/// Whose reasons the details of a status name.
+pub const DOMAIN: &str = "mallowgauge";
+/// The reason with which a host says that it turned a part away unseen.
+pub const LATER: &str = "LATER";
+
 /// A final status.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Status {
     /// Its number.
     pub code: Code,
     /// Words for people.
-    pub words: &'static str,
+    pub words: Cow<'static, str>,
+    /// A constant for programs.
+    pub reason: Option<&'static str>,
     /// When to come back.
     pub retry_after: Option<Micros>,
 }
@@ -47,8 +79,20 @@
 impl Status {
     /// A status without advice.
     #[must_use]
-    pub fn new(code: Code, words: &'static str) -> Self {
-        Self { code, words, retry_after: None }
+    pub fn new(code: Code, words: impl Into<Cow<'static, str>>) -> Self {
+        Self { code, words: words.into(), reason: None, retry_after: None }
+    }
+
+    /// The same with a reason for programs.
+    #[must_use]
+    pub fn because(self, reason: &'static str) -> Self {
+        Self { reason: Some(reason), ..self }
+    }
+
+    /// The same with advice when to come back.
+    #[must_use]
+    pub fn retry(self, after: Micros) -> Self {
+        Self { retry_after: Some(after), ..self }
     }
 
     /// Writes it as trailers.
@@ -56,17 +100,26 @@
     pub fn trailers(&self) -> HeaderMap {
         let mut map = HeaderMap::new();
         map.insert("grpc-status", HeaderValue::from(self.code as u32));
-        if self.code != Code::Ok {
-            map.insert("grpc-message", HeaderValue::from_static(self.words));
+        if self.code == Code::Ok {
+            return map;
+        }
+        if let Ok(value) = HeaderValue::from_str(&percent(&self.words)) {
+            map.insert("grpc-message", value);
         }
+        let mut details = Vec::new();
         if let Some(wait) = self.retry_after {
-            let delay =
-                Duration { seconds: (wait / 1_000_000) as i64, nanos: (wait % 1_000_000) as i32 * 1000 };
-            let info = RetryInfo { retry_delay: Some(delay) }.encode_to_vec();
-            let details = vec![Any { type_url: RETRY_INFO.to_owned(), value: info }];
-            let status = RpcStatus { code: self.code as i32, message: self.words.to_owned(), details };
-            let text = STANDARD_NO_PAD.encode(status.encode_to_vec());
-            if let Ok(value) = HeaderValue::from_str(&text) {
+            let (seconds, nanos) = ((wait / 1_000_000) as i64, (wait % 1_000_000) as i32 * 1000);
+            let info = RetryInfo { retry_delay: Some(prost_types::Duration { seconds, nanos }) };
+            details.push(Any { type_url: RETRY_INFO.to_owned(), value: info.encode_to_vec() });
+        }
+        if let Some(reason) = self.reason {
+            let (reason, domain) = (reason.to_owned(), DOMAIN.to_owned());
+            let info = ErrorInfo { reason, domain, metadata: HashMap::new() };
+            details.push(Any { type_url: ERROR_INFO.to_owned(), value: info.encode_to_vec() });
+        }
+        if !details.is_empty() {
+            let status = RpcStatus { code: self.code as i32, message: self.words.to_string(), details };
+            if let Ok(value) = HeaderValue::from_str(&STANDARD_NO_PAD.encode(status.encode_to_vec())) {
                 map.insert("grpc-status-details-bin", value);
             }
         }
@@ -75,6 +128,27 @@
 }
 
 const RETRY_INFO: &str = "type.googleapis.com/google.rpc.RetryInfo";
+const ERROR_INFO: &str = "type.googleapis.com/google.rpc.ErrorInfo";
+
+/// The words of a status as a header line: what is not printable is escaped.
+fn percent(words: &str) -> String {
+    let plain = |b: &u8| (0x20..=0x7e).contains(b) && *b != b'%';
+    let escape = |b: &u8| if plain(b) { char::from(*b).to_string() } else { format!("%{b:02X}") };
+    words.as_bytes().iter().map(escape).collect()
+}
+
+/// The details of a status: the reason, if it is one of ours, and the advice when to come back.
+#[must_use]
+pub fn details_of(map: &HeaderMap) -> (Option<String>, Option<Micros>) {
+    let text = map.get("grpc-status-details-bin").and_then(|value| value.to_str().ok());
+    let bytes = text.and_then(|text| STANDARD_NO_PAD.decode(text.trim_end_matches('=')).ok());
+    let status = bytes.and_then(|bytes| RpcStatus::decode(bytes.as_slice()).ok()).unwrap_or_default();
+    let find = |url: &str| status.details.iter().find(|any| any.type_url == url);
+    let reason = find(ERROR_INFO).and_then(|any| ErrorInfo::decode(any.value.as_slice()).ok());
+    let retry = find(RETRY_INFO).and_then(|any| RetryInfo::decode(any.value.as_slice()).ok()?.retry_delay);
+    let wait = |d: prost_types::Duration| d.seconds.max(0) as u64 * 1_000_000 + d.nanos.max(0) as u64 / 1000;
+    (reason.filter(|info| info.domain == DOMAIN).map(|info| info.reason), retry.map(wait))
+}
 
 /// The number of a status in headers or trailers.
 #[must_use]
@@ -111,32 +185,121 @@
     }
 }
 
+/// How messages are compressed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Encoding {
+    /// Not at all.
+    #[default]
+    Identity,
+    /// By gzip.
+    Gzip,
+}
+
+/// What is said to be understood.
+pub const ACCEPTED: &str = "identity,gzip";
+
+impl Encoding {
+    /// The encoding of that name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "identity" => Some(Self::Identity),
+            "gzip" => Some(Self::Gzip),
+            _ => None,
+        }
+    }
+}
+
+/// Messages shorter than this are not worth compressing.
+const WORTH: usize = 512;
+
+/// The five bytes in front of a message.
+fn head(compressed: bool, length: usize) -> [u8; 5] {
+    let length = u32::try_from(length).unwrap_or(u32::MAX).to_be_bytes();
+    [u8::from(compressed), length[0], length[1], length[2], length[3]]
+}
+
 /// Puts a message into gRPC's frame.
 #[must_use]
 pub fn frame(message: &impl Message) -> Vec<u8> {
-    let body = message.encode_to_vec();
-    let mut out = vec![0];
-    out.extend_from_slice(&u32::try_from(body.len()).unwrap_or(u32::MAX).to_be_bytes());
-    out.extend_from_slice(&body);
+    let length = message.encoded_len();
+    let mut out = Vec::with_capacity(5 + length);
+    out.extend_from_slice(&head(false, length));
+    // A vector takes all that is put into it.
+    let done = message.encode(&mut out);
+    debug_assert!(done.is_ok());
     out
 }
 
+/// Puts a message that lies in pieces into gRPC's frame; the pieces are not copied unless they are
+/// compressed.
+#[must_use]
+pub fn frame_pieces(pieces: Vec<Bytes>, encoding: Encoding) -> Vec<Bytes> {
+    let length = pieces.iter().map(Bytes::len).sum();
+    if encoding == Encoding::Gzip && length >= WORTH {
+        let mut gzip = GzEncoder::new(Vec::new(), Compression::fast());
+        let written = pieces.iter().try_for_each(|piece| gzip.write_all(piece));
+        if let (Ok(()), Ok(packed)) = (written, gzip.finish()) {
+            return vec![Bytes::copy_from_slice(&head(true, packed.len())), packed.into()];
+        }
+    }
+    let mut out = vec![Bytes::copy_from_slice(&head(false, length))];
+    out.extend(pieces);
+    out
+}
+
+/// Why what has come is no message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// Longer than is taken, as it stands or inflated.
+    TooLong,
+    /// Compressed, though that was not said, or with a flag that means nothing.
+    Flag,
+    /// It cannot be inflated.
+    Garbled,
+}
+
+impl Bad {
+    /// The status that a client is given for it.
+    #[must_use]
+    pub fn status(self) -> Status {
+        match self {
+            Bad::TooLong => {
+                Status::new(Code::ResourceExhausted, "the message is too long").because("MESSAGE_TOO_LONG")
+            }
+            Bad::Flag => Status::new(Code::Internal, "a compressed message without grpc-encoding"),
+            Bad::Garbled => Status::new(Code::Internal, "a compressed message that cannot be inflated"),
+        }
+    }
+}
+
 /// Takes messages out of gRPC's frames.
 #[derive(Debug)]
 pub struct Deframer {
-    held: Vec<u8>,
+    held: BytesMut,
     most: usize,
+    encoding: Encoding,
 }
 
 impl Deframer {
-    /// For messages of at most `most` bytes.
+    /// For messages of at most `most` bytes, once they are inflated.
     #[must_use]
     pub fn new(most: usize) -> Self {
-        Self { held: Vec::new(), most }
+        Self { held: BytesMut::new(), most, encoding: Encoding::Identity }
+    }
+
+    /// For messages that may be compressed in this way.
+    #[must_use]
+    pub fn encoded(self, encoding: Encoding) -> Self {
+        Self { encoding, ..self }
     }
 
     /// Adds what has come.
     pub fn push(&mut self, bytes: &[u8]) {
+        if let Some(length) = self.length().filter(|&length| length <= self.most) {
+            // The whole message in one piece, so that it need not be moved again.
+            self.held.reserve((5 + length).saturating_sub(self.held.len()).max(bytes.len()));
+        }
         self.held.extend_from_slice(bytes);
     }
 
@@ -152,123 +315,47 @@
         self.held.is_empty()
     }
 
+    fn length(&self) -> Option<usize> {
+        let head = self.held.first_chunk::<5>()?;
+        Some(u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize)
+    }
+
     /// The next whole message.
     ///
     /// # Errors
-    /// It is compressed, which was not agreed on, or too long.
-    pub fn take(&mut self) -> Result<Option<Bytes>, &'static str> {
-        let Some(head) = self.held.first_chunk::<5>() else { return Ok(None) };
-        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
-        if head[0] != 0 {
-            return Err("a compressed message");
-        }
+    /// What has come is none, which shows as soon as its first bytes are there.
+    pub fn take(&mut self) -> Result<Option<Bytes>, Bad> {
+        let Some(length) = self.length() else { return Ok(None) };
+        let compressed = match self.held[0] {
+            0 => false,
+            1 if self.encoding == Encoding::Gzip => true,
+            _ => return Err(Bad::Flag),
+        };
         if length > self.most {
-            return Err("a message that is too long");
+            return Err(Bad::TooLong);
         }
         if self.held.len() < 5 + length {
             return Ok(None);
         }
-        let rest = self.held.split_off(5 + length);
-        let whole = std::mem::replace(&mut self.held, rest);
-        Ok(Some(Bytes::from(whole).slice(5..)))
+        let message = self.held.split_to(5 + length).freeze().slice(5..);
+        if self.held.is_empty() {
+            // What was taken keeps the memory; a rest of it is not kept as well.
+            self.held = BytesMut::new();
+        }
+        if compressed {
+            return inflate(&message, self.most).map(Some);
+        }
+        Ok(Some(message))
     }
 }
 
-/// `arrow.flight.protocol.FlightDescriptor`
-#[derive(Clone, PartialEq, Message)]
-pub struct FlightDescriptor {
-    /// 2 for a command.
-    #[prost(int32, tag = "1")]
-    pub r#type: i32,
-    /// The command.
-    #[prost(bytes = "bytes", tag = "2")]
-    pub cmd: Bytes,
-    /// A path, which is not used here.
-    #[prost(string, repeated, tag = "3")]
-    pub path: Vec<String>,
-}
-
-/// The type of a descriptor that holds a command.
-pub const COMMAND: i32 = 2;
-
-/// `arrow.flight.protocol.Ticket`
-#[derive(Clone, PartialEq, Message)]
-pub struct Ticket {
-    /// What the server made of it.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub ticket: Bytes,
-}
-
-/// `arrow.flight.protocol.FlightEndpoint`; without a location it means the same service.
-#[derive(Clone, PartialEq, Message)]
-pub struct FlightEndpoint {
-    /// What to ask for there.
-    #[prost(message, optional, tag = "1")]
-    pub ticket: Option<Ticket>,
-}
-
-/// `arrow.flight.protocol.FlightInfo`
-#[derive(Clone, PartialEq, Message)]
-pub struct FlightInfo {
-    /// The schema, as an encapsulated IPC message.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub schema: Bytes,
-    /// What was asked.
-    #[prost(message, optional, tag = "2")]
-    pub flight_descriptor: Option<FlightDescriptor>,
-    /// Where to get it.
-    #[prost(message, repeated, tag = "3")]
-    pub endpoint: Vec<FlightEndpoint>,
-    /// -1 for unknown.
-    #[prost(int64, tag = "4")]
-    pub total_records: i64,
-    /// -1 for unknown.
-    #[prost(int64, tag = "5")]
-    pub total_bytes: i64,
-}
-
-/// `arrow.flight.protocol.FlightData`
-#[derive(Clone, PartialEq, Message)]
-pub struct FlightData {
-    /// An IPC message without its body.
-    #[prost(bytes = "bytes", tag = "2")]
-    pub data_header: Bytes,
-    /// The application's own words.
-    #[prost(bytes = "bytes", tag = "3")]
-    pub app_metadata: Bytes,
-    /// The body of the IPC message.
-    #[prost(bytes = "bytes", tag = "1000")]
-    pub data_body: Bytes,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct Duration {
-    #[prost(int64, tag = "1")]
-    seconds: i64,
-    #[prost(int32, tag = "2")]
-    nanos: i32,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct RetryInfo {
-    #[prost(message, optional, tag = "1")]
-    retry_delay: Option<Duration>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct Any {
-    #[prost(string, tag = "1")]
-    type_url: String,
-    #[prost(bytes = "vec", tag = "2")]
-    value: Vec<u8>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct RpcStatus {
-    #[prost(int32, tag = "1")]
-    code: i32,
-    #[prost(string, tag = "2")]
-    message: String,
-    #[prost(message, repeated, tag = "3")]
-    details: Vec<Any>,
+/// Inflates a message up to a bound: what claims to be small and is not ends there.
+fn inflate(message: &[u8], most: usize) -> Result<Bytes, Bad> {
+    let mut out = Vec::new();
+    let mut gzip = GzDecoder::new(message).take(most as u64 + 1);
+    gzip.read_to_end(&mut out).map_err(|_| Bad::Garbled)?;
+    if out.len() > most {
+        return Err(Bad::TooLong);
+    }
+    Ok(out.into())
 }
--- /dev/null
+++ b/crates/flight/src/schema.rs
@@ -0,0 +1,248 @@
+//! Decides which tables of parts make one answer, and what its columns are.
+//!
+//! The rule: tables agree if they have the same columns in the same order, by name and by type. What may
+//! differ is whether a column can hold nulls (the answer's can, if any part's can: the layout is the same
+//! either way), what the columns' metadata say (the first one's is kept), and dictionaries (each part brings
+//! its own; they replace the ones before). Nested columns are held to the same rule all the way down. A part
+//! whose table does not agree with those that are in counts as spoilt. So does one that has a column of the
+//! name that the answer needs for itself, and a text among tables or a table among texts.
+
+use std::sync::Arc;
+
+use arrow_ipc::convert::try_fb_to_schema;
+use arrow_schema::{DataType, Field, FieldRef, Fields, Schema};
+use mallowgauge_core::Value;
+
+/// The column that says which part a row comes from.
+pub const RANGE: &str = "range";
+
+/// Deeper nesting than this is not taken.
+const DEEPEST: usize = 16;
+/// More columns than this, nested ones counted, are not taken.
+pub const MOST_COLUMNS: usize = 4096;
+
+/// Reads the schema from its message.
+///
+/// # Errors
+/// Says what is wrong with it.
+pub fn read(header: &[u8]) -> Result<Schema, String> {
+    let message = arrow_ipc::root_as_message(header).map_err(|e| e.to_string())?;
+    let schema = message.header_as_schema().ok_or("the first message is no schema")?;
+    // Decimals and intervals of odd widths are turned down by the library, some of them by a panic.
+    let schema = std::panic::catch_unwind(|| try_fb_to_schema(schema));
+    let schema = schema.map_err(|_| "a schema that cannot be read")?.map_err(|e| e.to_string())?;
+    let mut columns = 0;
+    schema.fields().iter().try_for_each(|field| measure(field, 0, &mut columns))?;
+    Ok(schema)
+}
+
+fn measure(field: &Field, depth: usize, columns: &mut usize) -> Result<(), String> {
+    *columns += 1;
+    if depth > DEEPEST || *columns > MOST_COLUMNS {
+        return Err("a schema that is too deep or too wide".to_owned());
+    }
+    children(field.data_type()).iter().try_for_each(|child| measure(child, depth + 1, columns))
+}
+
+/// The columns within a column.
+#[must_use]
+pub fn children(kind: &DataType) -> Vec<&Field> {
+    match kind {
+        DataType::List(field)
+        | DataType::LargeList(field)
+        | DataType::ListView(field)
+        | DataType::LargeListView(field)
+        | DataType::FixedSizeList(field, _)
+        | DataType::Map(field, _) => vec![field],
+        DataType::Struct(fields) => fields.iter().map(AsRef::as_ref).collect(),
+        DataType::Union(fields, _) => fields.iter().map(|(_, field)| field.as_ref()).collect(),
+        DataType::RunEndEncoded(ends, values) => vec![ends, values],
+        _ => Vec::new(),
+    }
+}
+
+/// Why two parts make no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Clash {
+    /// One is a text and the other a table.
+    Kinds,
+    /// The columns are not as many.
+    Columns(usize, usize),
+    /// This column differs.
+    Column(String),
+    /// The table has a column of a name that the answer needs.
+    Taken(&'static str),
+    /// The table's schema cannot be read.
+    Unreadable(String),
+}
+
+impl std::fmt::Display for Clash {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Clash::Kinds => write!(f, "a text among tables, or a table among texts"),
+            Clash::Columns(one, other) => write!(f, "{other} columns where the others have {one}"),
+            Clash::Column(name) => write!(f, "the column {name} differs from the others'"),
+            Clash::Taken(name) => write!(f, "it has a column {name} of its own"),
+            Clash::Unreadable(why) => write!(f, "{why}"),
+        }
+    }
+}
+
+/// Whether two columns are the same but for nulls.
+fn alike(one: &Field, other: &Field) -> bool {
+    one.name() == other.name() && same_kind(one.data_type(), other.data_type())
+}
+
+fn same_kind(one: &DataType, other: &DataType) -> bool {
+    match (one, other) {
+        (DataType::Dictionary(key, value), DataType::Dictionary(other_key, other_value)) => {
+            key == other_key && same_kind(value, other_value)
+        }
+        (DataType::FixedSizeList(_, n), DataType::FixedSizeList(_, m)) if n != m => false,
+        (DataType::Map(_, sorted), DataType::Map(_, other)) if sorted != other => false,
+        (DataType::Union(fields, mode), DataType::Union(others, other_mode)) => {
+            let ids = |(id, _): (i8, _)| id;
+            mode == other_mode
+                && fields.iter().map(ids).eq(others.iter().map(ids))
+                && fields.iter().zip(others.iter()).all(|((_, a), (_, b))| alike(a, b))
+        }
+        _ => {
+            let (inner, others) = (children(one), children(other));
+            if inner.is_empty() && others.is_empty() {
+                return one == other;
+            }
+            std::mem::discriminant(one) == std::mem::discriminant(other)
+                && inner.len() == others.len()
+                && inner.iter().zip(others).all(|(a, b)| alike(a, b))
+        }
+    }
+}
+
+/// Whether a table with this schema can stand among others whose schema is the first.
+///
+/// # Errors
+/// Says why not.
+pub fn agree(first: &Schema, other: &Schema) -> Result<(), Clash> {
+    let (ours, theirs) = (first.fields(), other.fields());
+    if ours.len() != theirs.len() {
+        return Err(Clash::Columns(ours.len(), theirs.len()));
+    }
+    let differs = ours.iter().zip(theirs.iter()).find(|(a, b)| !alike(a, b));
+    differs.map_or(Ok(()), |(field, _)| Err(Clash::Column(field.name().clone())))
+}
+
+/// Whether a value can stand beside those that are in, of which the first is given.
+///
+/// # Errors
+/// Says why not.
+pub fn fits(first: Option<&Value>, value: &Value) -> Result<(), Clash> {
+    let unreadable = |header: &[u8]| read(header).map_err(Clash::Unreadable);
+    match (first, value) {
+        (None | Some(Value::Text(_)), Value::Text(_)) => Ok(()),
+        (Some(Value::Text(_)), Value::Table(_)) | (Some(Value::Table(_)), Value::Text(_)) => {
+            Err(Clash::Kinds)
+        }
+        (None, Value::Table(table)) => {
+            let schema = unreadable(&table.schema)?;
+            let taken = schema.fields().iter().any(|field| field.name() == RANGE);
+            if taken {
+                Err(Clash::Taken(RANGE))
+            } else {
+                Ok(())
+            }
+        }
+        // The usual case: hosts of one release write the very same bytes.
+        (Some(Value::Table(ours)), Value::Table(table)) if ours.schema == table.schema => Ok(()),
+        (Some(Value::Table(ours)), Value::Table(table)) => {
+            agree(&unreadable(&ours.schema)?, &unreadable(&table.schema)?)
+        }
+    }
+}
+
+fn widen(one: &FieldRef, other: &FieldRef) -> FieldRef {
+    let field = Field::clone(one).with_data_type(wider(one.data_type(), other.data_type()));
+    Arc::new(field.with_nullable(one.is_nullable() || other.is_nullable()))
+}
+
+fn widen_all(ours: &Fields, theirs: &Fields) -> Fields {
+    ours.iter().zip(theirs).map(|(a, b)| widen(a, b)).collect()
+}
+
+fn wider(one: &DataType, other: &DataType) -> DataType {
+    use DataType as T;
+    match (one, other) {
+        (T::List(a), T::List(b)) => T::List(widen(a, b)),
+        (T::LargeList(a), T::LargeList(b)) => T::LargeList(widen(a, b)),
+        (T::ListView(a), T::ListView(b)) => T::ListView(widen(a, b)),
+        (T::LargeListView(a), T::LargeListView(b)) => T::LargeListView(widen(a, b)),
+        (T::FixedSizeList(a, n), T::FixedSizeList(b, _)) => T::FixedSizeList(widen(a, b), *n),
+        (T::Map(a, sorted), T::Map(b, _)) => T::Map(widen(a, b), *sorted),
+        (T::Struct(a), T::Struct(b)) => T::Struct(widen_all(a, b)),
+        (T::Dictionary(key, a), T::Dictionary(_, b)) => T::Dictionary(key.clone(), Box::new(wider(a, b))),
+        (T::RunEndEncoded(ends, a), T::RunEndEncoded(_, b)) => T::RunEndEncoded(ends.clone(), widen(a, b)),
+        (one, _) => one.clone(),
+    }
+}
+
+/// The columns of an answer from tables that agree, and behind them the one that names the part.
+#[must_use]
+pub fn unite(schemas: &[Schema]) -> Schema {
+    let mut all = schemas.iter();
+    let first = all.next().cloned().unwrap_or_else(Schema::empty);
+    let fields = all.fold(first.fields().clone(), |fields, schema| widen_all(&fields, schema.fields()));
+    let range: FieldRef = Arc::new(Field::new(RANGE, DataType::UInt32, false));
+    Schema::new_with_metadata(
+        fields.iter().cloned().chain([range]).collect::<Fields>(),
+        first.metadata().clone(),
+    )
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn field(name: &str, kind: DataType, nullable: bool) -> Field {
+        Field::new(name, kind, nullable)
+    }
+
+    fn list(nullable: bool) -> DataType {
+        DataType::List(Arc::new(field("item", DataType::Int64, nullable)))
+    }
+
+    #[test]
+    fn nulls_are_widened_all_the_way_down() {
+        let strict =
+            Schema::new(vec![field("price", DataType::Float64, false), field("tags", list(false), false)]);
+        let loose =
+            Schema::new(vec![field("price", DataType::Float64, true), field("tags", list(true), false)]);
+        assert_eq!(agree(&strict, &loose), Ok(()));
+        assert_eq!(agree(&loose, &strict), Ok(()));
+        let united = unite(&[strict, loose]);
+        assert!(united.field(0).is_nullable());
+        assert_eq!(united.field(1).data_type(), &list(true));
+        assert_eq!(united.field(2), &field(RANGE, DataType::UInt32, false));
+    }
+
+    #[test]
+    fn names_types_order_and_number_have_to_be_the_same() {
+        let schema = |columns: &[(&str, DataType)]| {
+            Schema::new(columns.iter().map(|(n, k)| field(n, k.clone(), false)).collect::<Vec<_>>())
+        };
+        let first = schema(&[("a", DataType::Int32), ("b", DataType::Utf8)]);
+        let clash = |other: &Schema| agree(&first, other).expect_err("a clash").to_string();
+        assert_eq!(
+            clash(&schema(&[("a", DataType::Int64), ("b", DataType::Utf8)])),
+            "the column a differs from the others'"
+        );
+        assert_eq!(
+            clash(&schema(&[("b", DataType::Utf8), ("a", DataType::Int32)])),
+            "the column a differs from the others'"
+        );
+        assert_eq!(clash(&schema(&[("a", DataType::Int32)])), "1 columns where the others have 2");
+        let words = DataType::Dictionary(Box::new(DataType::Int32), Box::new(DataType::Utf8));
+        let short = DataType::Dictionary(Box::new(DataType::Int8), Box::new(DataType::Utf8));
+        assert!(agree(&schema(&[("d", words.clone())]), &schema(&[("d", words.clone())])).is_ok());
+        assert!(agree(&schema(&[("d", words.clone())]), &schema(&[("d", short)])).is_err());
+        assert!(agree(&schema(&[("d", words)]), &schema(&[("d", DataType::Utf8)])).is_err());
+    }
+}
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -1,10 +1,10 @@
 //! What a gatherer is told at its start: the environment, the platform's file, the operator's file.
 
-use std::collections::BTreeSet;
 use std::net::{SocketAddr, ToSocketAddrs};
 
 use serde_json::Value;
 
+use crate::operator::{self, Flight};
 use crate::site::{Section, Site};
 use mallowgauge_core::Bounds;
 use mallowgauge_router::Micros;
@@ -26,17 +26,6 @@
     pub sockets: usize,
 }
 
-/// The Flight front, where an operator has set it up.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Flight {
-    /// Where Flight clients connect.
-    pub listen: Option<SocketAddr>,
-    /// The hosts that offer Flight, by their ids.
-    pub hosts: BTreeSet<String>,
-    /// Every host offers it.
-    pub every_host: bool,
-}
-
 /// All that a gatherer is told.
 pub struct Config {
     /// Its name.
@@ -70,7 +59,7 @@
 /// Too few for a listener, discovery, a host and a client with room to move.
 const FEWEST_SOCKETS: usize = 32;
 
-fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
+pub(crate) fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
     let found = text.to_socket_addrs().ok().and_then(|mut all| all.next());
     found.ok_or_else(|| format!("{what} {text} is not an address with a port"))
 }
@@ -83,7 +72,7 @@
     /// One line that says what is wrong.
     pub fn load(variable: impl Fn(&str) -> Option<String>, operator: Option<&str>) -> Result<Self, String> {
         let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-        let flight = operator.map_or(Ok(Flight::default()), |path| flight(&file(path)?, path))?;
+        let flight = operator.map_or(Ok(Flight::default()), |path| operator::read(&file(path)?, path))?;
         Self::read(&file(&path)?, variable, flight).map_err(|e| format!("{path}: {e}"))
     }
 
@@ -145,25 +134,3 @@
     let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
     serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))
 }
-
-/// The operator's file: `{"flight": {"listen": "127.0.0.1:8815", "hosts": ["s-5be2a07c"]}}`, where
-/// `"hosts": "all"` names every host.
-fn flight(all: &Value, path: &str) -> Result<Flight, String> {
-    let bad = |what: &str| format!("{path}: {what}");
-    let section = all.get("flight").ok_or_else(|| bad("flight is missing"))?;
-    let listen = match section.get("listen") {
-        None | Some(Value::Null) => None,
-        Some(Value::String(text)) => Some(address(text, "flight.listen").map_err(|e| bad(&e))?),
-        Some(_) => return Err(bad("flight.listen is not a text")),
-    };
-    let (hosts, every_host) = match section.get("hosts") {
-        None | Some(Value::Null) => (BTreeSet::new(), false),
-        Some(Value::String(all)) if all == "all" => (BTreeSet::new(), true),
-        Some(Value::Array(list)) => {
-            let names: Option<_> = list.iter().map(|v| v.as_str().map(str::to_owned)).collect();
-            (names.ok_or_else(|| bad("flight.hosts holds something other than ids"))?, false)
-        }
-        Some(_) => return Err(bad("flight.hosts is neither a list of ids nor \"all\"")),
-    };
-    Ok(Flight { listen, hosts, every_host })
-}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,7 +3,9 @@
 
 mod config;
 pub mod hosts;
+mod operator;
 mod site;
 
-pub use config::{Config, Flight, Links};
+pub use config::{Config, Links};
+pub use operator::{Flight, HostTls, ServerTls};
 pub use site::{small, zone, Section, Site};
--- /dev/null
+++ b/crates/settings/src/operator.rs
@@ -0,0 +1,211 @@
+//! The operator's file: what goes beyond the platform. Without one, all of it is off.
+//!
+//! ```json
+//! {"flight": {"listen": "127.0.0.1:8815", "hosts": ["s-5be2a07c"],
+//!             "key": "flight.key", "users": "users.txt", "ticket_s": 600, "token_s": 3600,
+//!             "tls": {"certificate": "cert.pem", "key": "key.pem", "client_ca": "clients.pem"},
+//!             "host_tls": {"ca": "hosts.pem", "name": "hosts.example", "certificate": "us.pem", "key": "us.key"}}}
+//! ```
+//!
+//! `"hosts": "all"` names every host. Files are named from the folder of the operator's own.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::Path;
+
+use mallowgauge_router::Micros;
+use serde_json::{Map, Value};
+
+use crate::config::address;
+
+/// A front's certificate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerTls {
+    /// The chain, in PEM.
+    pub certificate: Vec<u8>,
+    /// The key, in PEM.
+    pub key: Vec<u8>,
+    /// Clients have to show a certificate from one of these roots.
+    pub client_ca: Option<Vec<u8>>,
+}
+
+/// What is trusted of hosts, and shown to them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostTls {
+    /// The roots that hosts' certificates come from.
+    pub ca: Vec<u8>,
+    /// The name in them; their address where there is none.
+    pub name: Option<String>,
+    /// A chain and its key that are shown to hosts.
+    pub identity: Option<(Vec<u8>, Vec<u8>)>,
+}
+
+/// Flight, where an operator has set it up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Flight {
+    /// Where Flight clients connect.
+    pub listen: Option<SocketAddr>,
+    /// The hosts that offer Flight, by their ids.
+    pub hosts: BTreeSet<String>,
+    /// Every host offers it.
+    pub every_host: bool,
+    /// What tickets and tokens are signed with; made up at each start where there is none.
+    pub key: Option<Vec<u8>>,
+    /// Who may call, with lines that prove their passwords; everybody where there are none.
+    pub users: Option<BTreeMap<String, String>>,
+    /// How long a ticket counts.
+    pub ticket_life: Micros,
+    /// How long a token counts.
+    pub token_life: Micros,
+    /// TLS for clients.
+    pub tls: Option<ServerTls>,
+    /// TLS towards hosts.
+    pub host_tls: Option<HostTls>,
+}
+
+/// Tickets and tokens count for so long where nothing else is said.
+const TICKET_S: u64 = 600;
+const TOKEN_S: u64 = 3600;
+/// Fewer bytes than this are no key.
+const SHORTEST_KEY: usize = 16;
+/// Longest life that can be set: 30 days.
+const LONGEST_S: u64 = 30 * 86_400;
+
+impl Default for Flight {
+    fn default() -> Self {
+        Self {
+            listen: None,
+            hosts: BTreeSet::new(),
+            every_host: false,
+            key: None,
+            users: None,
+            ticket_life: TICKET_S * 1_000_000,
+            token_life: TOKEN_S * 1_000_000,
+            tls: None,
+            host_tls: None,
+        }
+    }
+}
+
+/// A section of the file, with its place in words.
+struct Part<'a> {
+    fields: &'a Map<String, Value>,
+    path: &'a str,
+    name: &'static str,
+}
+
+impl<'a> Part<'a> {
+    fn new(value: &'a Value, path: &'a str, name: &'static str, known: &[&str]) -> Result<Self, String> {
+        let fields = value.as_object().ok_or_else(|| format!("{path}: {name} is not an object"))?;
+        if let Some(key) = fields.keys().find(|key| !known.contains(&key.as_str())) {
+            return Err(format!("{path}: {name}.{key} is not known; there is {}", known.join(", ")));
+        }
+        Ok(Self { fields, path, name })
+    }
+
+    fn bad(&self, key: &str, what: &str) -> String {
+        format!("{}: {}.{key} {what}", self.path, self.name)
+    }
+
+    fn text(&self, key: &str) -> Result<Option<&'a str>, String> {
+        match self.fields.get(key) {
+            None | Some(Value::Null) => Ok(None),
+            Some(Value::String(text)) => Ok(Some(text)),
+            Some(_) => Err(self.bad(key, "is not a text")),
+        }
+    }
+
+    fn file(&self, key: &str) -> Result<Option<Vec<u8>>, String> {
+        let Some(name) = self.text(key)? else { return Ok(None) };
+        let folder = Path::new(self.path).parent().unwrap_or(Path::new(""));
+        let read = std::fs::read(folder.join(name));
+        read.map(Some).map_err(|e| self.bad(key, &format!("cannot be read: {name}: {e}")))
+    }
+
+    fn needed(&self, key: &str) -> Result<Vec<u8>, String> {
+        self.file(key)?.ok_or_else(|| self.bad(key, "is missing"))
+    }
+
+    fn seconds(&self, key: &str, usual: u64) -> Result<Micros, String> {
+        let value = self.fields.get(key).map_or(Some(usual), Value::as_u64);
+        let value = value.filter(|s| (1..=LONGEST_S).contains(s));
+        value
+            .map(|s| s * 1_000_000)
+            .ok_or_else(|| self.bad(key, "is not a whole number of seconds up to 30 days"))
+    }
+}
+
+/// Reads the operator's file.
+///
+/// # Errors
+/// One line that names the file, the key and what is wrong.
+pub fn read(all: &Value, path: &str) -> Result<Flight, String> {
+    let whole = Part::new(all, path, "the file", &["flight"])?;
+    let section = whole.fields.get("flight").ok_or_else(|| format!("{path}: flight is missing"))?;
+    let known = ["listen", "hosts", "key", "users", "ticket_s", "token_s", "tls", "host_tls"];
+    let part = Part::new(section, path, "flight", &known)?;
+    let listen = part.text("listen")?.map(|text| address(text, "flight.listen"));
+    let listen = listen.transpose().map_err(|e| format!("{path}: {e}"))?;
+    let (hosts, every_host) = match section.get("hosts") {
+        None | Some(Value::Null) => (BTreeSet::new(), false),
+        Some(Value::String(all)) if all == "all" => (BTreeSet::new(), true),
+        Some(Value::Array(list)) => {
+            let names: Option<_> = list.iter().map(|v| v.as_str().map(str::to_owned)).collect();
+            (names.ok_or_else(|| part.bad("hosts", "holds something other than ids"))?, false)
+        }
+        Some(_) => return Err(part.bad("hosts", "is neither a list of ids nor \"all\"")),
+    };
+    let key = part.file("key")?;
+    if key.as_ref().is_some_and(|key| key.len() < SHORTEST_KEY) {
+        return Err(part.bad("key", "is a file of fewer than 16 bytes"));
+    }
+    let users = part.file("users")?.map(|text| users(&text, &part)).transpose()?;
+    let tls = section.get("tls").filter(|v| !v.is_null()).map(|value| {
+        let part = Part::new(value, path, "flight.tls", &["certificate", "key", "client_ca"])?;
+        let (certificate, key) = (part.needed("certificate")?, part.needed("key")?);
+        Ok::<_, String>(ServerTls { certificate, key, client_ca: part.file("client_ca")? })
+    });
+    let host_tls = section.get("host_tls").filter(|v| !v.is_null()).map(|value| {
+        let part = Part::new(value, path, "flight.host_tls", &["ca", "name", "certificate", "key"])?;
+        let identity = match (part.file("certificate")?, part.file("key")?) {
+            (None, None) => None,
+            (Some(certificate), Some(key)) => Some((certificate, key)),
+            (None, _) => return Err(part.bad("certificate", "is missing beside its key")),
+            (_, None) => return Err(part.bad("key", "is missing beside its certificate")),
+        };
+        let name = part.text("name")?.map(str::to_owned);
+        Ok::<_, String>(HostTls { ca: part.needed("ca")?, name, identity })
+    });
+    Ok(Flight {
+        listen,
+        hosts,
+        every_host,
+        key,
+        users,
+        ticket_life: part.seconds("ticket_s", TICKET_S)?,
+        token_life: part.seconds("token_s", TOKEN_S)?,
+        tls: tls.transpose()?,
+        host_tls: host_tls.transpose()?,
+    })
+}
+
+/// Lines `NAME:pbkdf2-sha256$ROUNDS$SALT$HASH`; empty ones and those that begin with `#` are passed over.
+fn users(text: &[u8], part: &Part<'_>) -> Result<BTreeMap<String, String>, String> {
+    let text = std::str::from_utf8(text).map_err(|_| part.bad("users", "is a file that is no text"))?;
+    let mut users = BTreeMap::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        let bad = |what: &str| part.bad("users", &format!("line {}: {what}", index + 1));
+        let (name, secret) = line.split_once(':').ok_or_else(|| bad("no colon behind a name"))?;
+        if !mallowgauge_flight::seal::is_secret(secret) {
+            return Err(bad("not pbkdf2-sha256$ROUNDS$SALT$HASH with up to 200000 rounds"));
+        }
+        if users.insert(name.to_owned(), secret.to_owned()).is_some() {
+            return Err(bad("a user that was named before"));
+        }
+    }
+    Ok(users)
+}
--- a/crates/testkit/src/flight.rs
+++ b/crates/testkit/src/flight.rs
@@ -12,9 +12,8 @@
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
 use http::{HeaderMap, Request, Response};
-use mallowgauge_flight::grpc::{
-    frame, status_of, write_timeout, Deframer, FlightData, FlightDescriptor, FlightInfo, Ticket, SERVICE,
-};
+use mallowgauge_flight::grpc::{frame, status_of, write_timeout, Deframer, SERVICE};
+use mallowgauge_flight::proto::{FlightData, FlightDescriptor, FlightInfo, Ticket};
 use prost::Message;
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -162,7 +161,8 @@
     let body = writer.encode(&batch.expect("a batch"), &mut tracker, &options, &mut context);
     let message = |e: arrow_ipc::writer::EncodedData| {
         let data_header = e.ipc_message.into();
-        frame(&FlightData { data_header, app_metadata: Bytes::new(), data_body: e.arrow_data.into() })
+        let data_body = e.arrow_data.into();
+        frame(&FlightData { data_header, data_body, ..FlightData::default() })
     };
     [message(head), message(body.expect("a batch").1)].concat()
 }
