--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -107,7 +107,9 @@
         let mut state = self.state.borrow_mut();
         let Some(Stream { call, wants, .. }) = state.streams.get(&stream) else { return Grant::Over };
         let (call, bytes) = (*call, bytes + *wants);
-        let held = state.calls.get(&call).copied().unwrap_or(0);
+        // What the query's other streams wait for will be granted one day, and counts.
+        let others = state.streams.iter().filter(|(id, s)| s.call == call && **id != stream);
+        let held = state.calls.get(&call).copied().unwrap_or(0) + others.map(|(_, s)| s.wants).sum::<usize>();
         let older_waits = state.streams.values().any(|s| s.wants > 0 && s.call < call);
         let grant = if held + bytes > self.bounds.most_a_call {
             Grant::Over
--- a/crates/core/src/flights.rs
+++ b/crates/core/src/flights.rs
@@ -14,12 +14,17 @@
 //!
 //! The promise: a flight with an effect runs once. Whoever asks while it runs waits for its outcome with the
 //! others; whoever asks later is told the first outcome. What was asked under the same id with another body
-//! is refused. Memory is bounded in flights and in bytes of outcomes: the oldest settled ones go first, and
-//! one that runs never does. What has been forgotten is not run again either: a ticket says when it was made,
-//! and one as old as anything forgotten is refused ([`Why::Forgotten`]). An id without a ticket does not say;
-//! its outcome is never forgotten before the time that is promised, and new ones find no room first.
+//! is refused.
+//!
+//! Memory is bounded, in flights and in bytes of outcomes. An outcome that has to make room leaves behind that
+//! there was one; a flight that has to make room leaves behind its mark, a few bytes, for as long as its
+//! outcome was promised; one that runs never goes. Whatever has been forgotten in these ways is refused and
+//! not run ([`Why::Forgotten`]). When even marks find no room, new flights with an effect are turned away
+//! before they run. A ticket says when it was made: one as old as anything that was forgotten for good is
+//! refused as well.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 use std::rc::Rc;
 
 use mallowgauge_router::Micros;
@@ -50,8 +55,7 @@
     pub effect: bool,
     /// It is polled: it goes on between calls, and its outcome is kept for the next.
     pub polled: bool,
-    /// When its ticket was made; `None` where it was asked for without one. How old such an id is cannot be
-    /// told, so its outcome is kept for the whole time that is promised, even where room is wanted.
+    /// When its ticket was made; `None` where it was asked for without one.
     pub made: Option<Micros>,
 }
 
@@ -129,13 +133,20 @@
 #[derive(Debug)]
 enum State<O> {
     Running(Running),
-    Done { outcome: O, bytes: usize, until: Micros },
+    Done {
+        outcome: O,
+        bytes: usize,
+        until: Micros,
+    },
+    /// It is over, and its outcome had to make room.
+    Spent,
     Cancelled,
 }
 
 #[derive(Debug)]
 struct Flight<O> {
     spec: Spec,
+    asked: Micros,
     state: State<O>,
 }
 
@@ -149,10 +160,21 @@
     /// Settled ones by when they are forgotten.
     ends: BTreeSet<(Micros, Key)>,
     bytes: usize,
-    /// Flights with an effect whose tickets were made up to then may have been forgotten.
+    /// Marks of flights with an effect that had to make room, with when these were made.
+    marks: BTreeMap<u64, Micros>,
+    mark_ends: BTreeSet<(Micros, u64)>,
+    /// Flights with an effect whose tickets were made up to then may have been forgotten for good.
     forgotten: Option<Micros>,
 }
 
+/// So many marks are kept for each flight that may be known: a mark takes little of a flight's room.
+const MARKS: usize = 16;
+
+fn mark_of(key: &Key) -> u64 {
+    // The same for equal keys is all that is asked of it; a chance meeting of two refuses one of them.
+    BuildHasherDefault::<DefaultHasher>::default().hash_one(key)
+}
+
 impl<O: Clone> Flights<O> {
     /// None known.
     #[must_use]
@@ -164,6 +186,8 @@
             callers: BTreeMap::new(),
             ends: BTreeSet::new(),
             bytes: 0,
+            marks: BTreeMap::new(),
+            mark_ends: BTreeSet::new(),
             forgotten: None,
         }
     }
@@ -198,9 +222,13 @@
                     Verdict::Join(run)
                 }
                 State::Done { outcome, .. } => Verdict::Tell(outcome.clone()),
+                State::Spent => Verdict::Refuse(Why::Forgotten),
                 State::Cancelled => Verdict::Refuse(Why::Cancelled),
             };
         }
+        if spec.effect && self.marks.contains_key(&mark_of(key)) {
+            return Verdict::Refuse(Why::Forgotten);
+        }
         if spec.effect && spec.made.is_some_and(|made| Some(made) <= self.forgotten) {
             return Verdict::Refuse(Why::Forgotten);
         }
@@ -209,7 +237,7 @@
         }
         let idle = spec.polled.then_some(unpolled);
         let running = Running { run, callers: caller.into_iter().collect(), idle };
-        self.flights.insert(key.clone(), Flight { spec, state: State::Running(running) });
+        self.flights.insert(key.clone(), Flight { spec, asked: now, state: State::Running(running) });
         self.runs.insert(run, key.clone());
         self.callers.extend(caller.map(|caller| (caller, run)));
         Verdict::Run(run)
@@ -239,8 +267,7 @@
             flight.state = State::Done { outcome, bytes, until };
             self.ends.insert((until, key));
             self.bytes += bytes;
-            // The newest stays, if only for the call after this one, unless it is too large by itself.
-            while self.bytes > self.bounds.bytes && self.forget_first(now) {}
+            while self.bytes > self.bounds.bytes && self.spend_first() {}
         }
         callers.into_iter().collect()
     }
@@ -271,6 +298,7 @@
                 Standing::Running(running.run)
             }
             State::Done { outcome, until, .. } => Standing::Done(outcome.clone(), *until),
+            State::Spent => return None,
             State::Cancelled => Standing::Cancelled,
         })
     }
@@ -282,7 +310,7 @@
         let (run, callers) = match &mut flight.state {
             State::Running(running) if flight.spec.effect && touched(running.run) => return Cancel::TooLate,
             State::Running(running) => (running.run, std::mem::take(&mut running.callers)),
-            State::Done { .. } => return Cancel::TooLate,
+            State::Done { .. } | State::Spent => return Cancel::TooLate,
             State::Cancelled => return Cancel::Already,
         };
         self.runs.remove(&run);
@@ -307,7 +335,7 @@
             return Err(Why::Full);
         }
         let until = now + self.bounds.keep;
-        self.flights.insert(key.clone(), Flight { spec, state: State::Cancelled });
+        self.flights.insert(key.clone(), Flight { spec, asked: now, state: State::Cancelled });
         self.ends.insert((until, key.clone()));
         Ok(())
     }
@@ -318,6 +346,7 @@
         mine.map(|(key, flight)| match flight.state {
             State::Running(_) => (key, "running"),
             State::Done { .. } => (key, "done"),
+            State::Spent => (key, "forgotten"),
             State::Cancelled => (key, "cancelled"),
         })
     }
@@ -339,7 +368,8 @@
             State::Running(running) if running.callers.is_empty() => running.idle,
             _ => None,
         });
-        self.ends.first().map(|(at, _)| *at).into_iter().chain(idle).min()
+        let ends = [self.ends.first().map(|(at, _)| *at), self.mark_ends.first().map(|(at, _)| *at)];
+        ends.into_iter().flatten().chain(idle).min()
     }
 
     /// Forgets what has been kept for long enough, and gives up polled flights that nobody asks about: the
@@ -348,6 +378,11 @@
         while self.ends.first().is_some_and(|(at, _)| *at <= now) {
             self.forget_first(now);
         }
+        while let Some(&(at, mark)) = self.mark_ends.first().filter(|(at, _)| *at <= now) {
+            self.mark_ends.remove(&(at, mark));
+            let made = self.marks.remove(&mark);
+            self.forgotten = self.forgotten.max(made);
+        }
         let idle = |running: &Running| running.callers.is_empty() && running.idle.is_some_and(|at| at <= now);
         let over = self.runs.iter().filter(|(_, key)| match self.flights.get(key).map(|f| &f.state) {
             Some(State::Running(running)) => idle(running),
@@ -365,24 +400,42 @@
         over.into_iter().map(|(run, _)| run).collect()
     }
 
-    /// Forgets the settled flight that is due first, of those that may go before their time; `false` if there
-    /// is none.
-    fn forget_first(&mut self, now: Micros) -> bool {
-        let may_go = |(at, key): &&(Micros, Key)| {
-            let flight = self.flights.get(key);
-            *at <= now || flight.is_none_or(|f| !f.spec.effect || f.spec.made.is_some())
-        };
-        let Some(first) = self.ends.iter().find(may_go).cloned() else { return false };
-        self.ends.remove(&first);
-        let key = first.1;
-        if let Some(flight) = self.flights.remove(&key) {
-            if let State::Done { bytes, .. } = flight.state {
-                self.bytes -= bytes;
+    /// Lets go of the outcome that is due first, and keeps that its flight is over; `false` if there is none.
+    fn spend_first(&mut self) -> bool {
+        for (_, key) in &self.ends {
+            if let Some(Flight { state, .. }) = self.flights.get_mut(key) {
+                if let State::Done { bytes: held @ 1.., .. } = *state {
+                    self.bytes -= held;
+                    *state = State::Spent;
+                    return true;
+                }
             }
-            if flight.spec.effect {
-                self.forgotten = self.forgotten.max(flight.spec.made);
+        }
+        false
+    }
+
+    /// Forgets the settled flight that is due first; `false` if there is none, or no room for its mark.
+    fn forget_first(&mut self, now: Micros) -> bool {
+        let Some((until, key)) = self.ends.first().cloned() else { return false };
+        let Some(flight) = self.flights.get(&key) else { return false };
+        if flight.spec.effect {
+            // A ticket as old as an id that was run without one may be for that very id.
+            let made = flight.spec.made.unwrap_or(flight.asked);
+            if until > now {
+                if self.marks.len() >= self.bounds.flights * MARKS {
+                    return false;
+                }
+                let mark = mark_of(&key);
+                self.marks.insert(mark, made);
+                self.mark_ends.insert((until, mark));
+            } else {
+                self.forgotten = self.forgotten.max(Some(made));
             }
         }
+        self.ends.pop_first();
+        if let Some(Flight { state: State::Done { bytes, .. }, .. }) = self.flights.remove(&key) {
+            self.bytes -= bytes;
+        }
         true
     }
 }
--- a/crates/edge/src/front/flight/mod.rs
+++ b/crates/edge/src/front/flight/mod.rs
@@ -54,6 +54,16 @@
 /// A polled query that nobody asks about for so long is given up.
 const UNPOLLED: Micros = 30_000_000;
 
+/// Numbers that nobody can foretell, and that no two copies share: the system's, not the platform's seed.
+fn random<const N: usize>() -> [u8; N] {
+    let mut bytes = [0; N];
+    if let Err(e) = getrandom::fill(&mut bytes) {
+        // The system has given some since long before this program began.
+        tracing::error!("no random numbers: {e}");
+    }
+    bytes
+}
+
 type Handshake = Pin<Box<dyn Future<Output = Result<server::Connection<Wire, Bytes>, h2::Error>>>>;
 
 enum State {
@@ -116,7 +126,6 @@
     /// Outcomes that are on their way to calls.
     outbox: Vec<(u64, Rc<str>, Rc<str>, Outcome)>,
     next: u64,
-    rng: fastrand::Rng,
     draining: bool,
 }
 
@@ -136,12 +145,12 @@
     }
 
     /// An id for a query whose client names none.
-    fn fresh(&mut self) -> String {
-        format!("{:016x}", self.rng.u64(..))
+    fn fresh(&self) -> String {
+        format!("{:016x}", u64::from_le_bytes(random()))
     }
 
-    fn session(&mut self) -> SessionId {
-        SessionId(self.rng.u128(..))
+    fn session(&self) -> SessionId {
+        SessionId(u128::from_le_bytes(random()))
     }
 
     fn token(&mut self, now: Micros, user: &str) -> String {
@@ -188,7 +197,7 @@
         let plain = (!shared).then_some(caller);
         self.runs.insert(run, Run { class: ask.class, key: key.clone(), plain });
         self.place(caller, call, tag, &key);
-        let ask = self.unlike(ask, core);
+        let ask = Self::unlike(ask, core);
         match core.ask(now, Asker::Flight(run.0), ask) {
             Ok(()) => Submitted::Waiting(caller),
             Err(answer) => {
@@ -201,10 +210,10 @@
     }
 
     /// Hosts tell queries apart by their ids: a ticket that is used twice at a time is given another.
-    fn unlike(&mut self, mut ask: Ask, core: &Core) -> Ask {
+    fn unlike(mut ask: Ask, core: &Core) -> Ask {
         if core.is_open(&ask.id) {
             let short: String = ask.id.chars().take(40).collect();
-            ask.id = format!("{short}~{:08x}", self.rng.u32(..)).into();
+            ask.id = format!("{short}~{:08x}", u32::from_le_bytes(random())).into();
         }
         ask
     }
@@ -271,8 +280,6 @@
     pub limits: Limits,
     /// What the operator's file says.
     pub settings: &'a Settings,
-    /// For random numbers.
-    pub seed: u64,
     /// How many classes there are.
     pub classes: usize,
 }
@@ -283,11 +290,9 @@
     /// # Errors
     /// Its certificate or key makes no sense.
     pub fn new(setup: &Setup<'_>) -> Result<Self, String> {
-        let Setup { limits, settings, seed, classes } = setup;
-        let mut rng = fastrand::Rng::with_seed(*seed);
+        let Setup { limits, settings, classes } = setup;
         // Without a key of the operator's, tickets and tokens count until this copy ends.
-        let mut secret = [0; 32];
-        rng.fill(&mut secret);
+        let secret: [u8; 32] = random();
         let key = seal::Key::new(settings.key.as_deref().unwrap_or(&secret));
         let bounds = flights::Bounds {
             flights: limits.flights,
@@ -303,7 +308,7 @@
             sessions: Sessions::new(limits.sessions, REST),
             door: Door::new(settings.users.clone(), key.clone(), settings.token_life),
             key,
-            issuer: rng.u64(..),
+            issuer: u64::from_le_bytes(random()),
             ticket_life: settings.ticket_life,
             unpolled: UNPOLLED,
             tables: settings.every_host || !settings.hosts.is_empty(),
@@ -312,7 +317,6 @@
             shown: vec![None; *classes],
             outbox: Vec::new(),
             next: 0,
-            rng,
             draining: false,
         };
         let acceptor = settings.tls.as_ref().map(Acceptor::new).transpose()?;
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -107,7 +107,7 @@
             streams: config.links.streams,
             tls: config.flight.host_tls.as_ref().map(Connector::new).transpose()?,
         };
-        let setup = flight::Setup { limits, settings: &config.flight, seed: config.seed, classes };
+        let setup = flight::Setup { limits, settings: &config.flight, classes };
         let mut gatherer = Self {
             clock,
             lifecycle: Lifecycle::default(),
--- a/crates/edge/src/upstream/flight.rs
+++ b/crates/edge/src/upstream/flight.rs
@@ -53,6 +53,8 @@
 
 enum State {
     Dialling,
+    /// TLS is being agreed on: nothing is handed over before, so that nothing can have run if it fails.
+    Securing(Wire),
     Handshake(Handshake),
     Up(Box<client::Connection<Wire, Bytes>>, SendRequest<Bytes>, PingPong),
 }
@@ -233,6 +235,20 @@
             };
             let (wire, bytes_came) = Wire::new(Rc::clone(&self.stream), session);
             self.bytes_came = bytes_came;
+            self.state = State::Securing(wire);
+        }
+        if let State::Securing(wire) = &mut self.state {
+            match wire.handshake() {
+                Poll::Pending => return true,
+                Poll::Ready(Err(e)) => {
+                    tracing::warn!("host {}: no TLS: {e}", self.server.0);
+                    return false;
+                }
+                Poll::Ready(Ok(())) => {}
+            }
+            let State::Securing(wire) = std::mem::replace(&mut self.state, State::Dialling) else {
+                return false;
+            };
             let window = self.terms.window;
             // A stream that waits for the budget keeps its window's bytes; the others go on beside it.
             let all = window.saturating_mul(u32::try_from(self.terms.streams).unwrap_or(u32::MAX) + 1);
@@ -481,8 +497,12 @@
                     self.stage = Stage::Whole;
                     End::Ok
                 }
-                Some(end) if end != End::Ok => end,
-                _ => End::Reset,
+                Some(End::Ok) => {
+                    self.why = "it ends within a message".to_owned();
+                    End::Spoilt
+                }
+                Some(end) => end,
+                None => End::Reset,
             }),
         }
     }
--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -107,6 +107,34 @@
         })
     }
 
+    /// Takes what has come; 0 once the other side has closed.
+    fn receive(&mut self, socket: &mut Socket) -> io::Result<usize> {
+        let came = either!(self, session => session.read_tls(socket))?;
+        let taken = either!(self, session => session.process_new_packets().map(|_| ()));
+        // What there is to say, an alert for what was wrong included, goes out first.
+        self.flush(socket)?;
+        taken.map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+        let agreed = either!(self, session => {
+            session.is_handshaking() || session.alpn_protocol() == Some(ALPN)
+        });
+        if !agreed {
+            return Err(io::Error::new(ErrorKind::InvalidData, "no agreement on h2"));
+        }
+        Ok(came)
+    }
+
+    fn handshake(&mut self, socket: &mut Socket) -> io::Result<()> {
+        loop {
+            self.flush(socket)?;
+            if !either!(self, session => session.is_handshaking()) {
+                return Ok(());
+            }
+            if self.receive(socket)? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
     fn read(&mut self, socket: &mut Socket, buffer: &mut [u8]) -> io::Result<usize> {
         loop {
             let plain = either!(self, session => session.reader().read(buffer));
@@ -117,18 +145,7 @@
                 Err(e) if e.kind() == ErrorKind::UnexpectedEof => return Ok(0),
                 plain => return plain,
             }
-            let came = either!(self, session => session.read_tls(socket))?;
-            let taken = either!(self, session => session.process_new_packets().map(|_| ()));
-            // What there is to say, an alert for what was wrong included, goes out first.
-            self.flush(socket)?;
-            taken.map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
-            let agreed = either!(self, session => {
-                session.is_handshaking() || session.alpn_protocol() == Some(ALPN)
-            });
-            if !agreed {
-                return Err(io::Error::new(ErrorKind::InvalidData, "no agreement on h2"));
-            }
-            if came == 0 {
+            if self.receive(socket)? == 0 {
                 return Ok(0);
             }
         }
@@ -158,6 +175,14 @@
     }
 }
 
+impl Wire {
+    /// Whether both sides have agreed on TLS; at once where there is none.
+    pub fn handshake(&mut self) -> Poll<io::Result<()>> {
+        let Self { socket, tls } = self;
+        blocked(tls.as_mut().map_or(Ok(()), |session| session.handshake(socket)))
+    }
+}
+
 impl AsyncRead for Wire {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/flight/src/answer.rs
+++ b/crates/flight/src/answer.rs
@@ -21,7 +21,7 @@
 use mallowgauge_router::ShardId;
 use prost::encoding::{encode_key, encode_varint, encoded_len_varint, key_len, WireType};
 
-use crate::grpc::{frame_pieces, Encoding};
+use crate::grpc::{frame_headed, Encoding};
 use crate::ipc::{self, Outgoing};
 use crate::schema;
 
@@ -65,7 +65,9 @@
     const BODY: u32 = 1000;
     let length: usize = body.iter().map(Bytes::len).sum();
     let room = |tag: u32, bytes: usize| key_len(tag) + encoded_len_varint(bytes as u64) + bytes;
-    let mut head = Vec::with_capacity(room(HEADER, header.len()) + room(METADATA, metadata.len()) + 16);
+    let mut head = Vec::with_capacity(5 + room(HEADER, header.len()) + room(METADATA, metadata.len()) + 16);
+    // The frame's own five bytes go in front of the same piece.
+    head.extend_from_slice(&[0; 5]);
     for (tag, bytes) in [(HEADER, header), (METADATA, metadata)] {
         if !bytes.is_empty() {
             encode_key(tag, WireType::LengthDelimited, &mut head);
@@ -77,8 +79,7 @@
         encode_key(BODY, WireType::LengthDelimited, &mut head);
         encode_varint(length as u64, &mut head);
     }
-    let pieces = std::iter::once(Bytes::from(head)).chain(body.into_iter().filter(|b| !b.is_empty()));
-    frame_pieces(pieces.collect(), encoding)
+    frame_headed(head, body, encoding)
 }
 
 /// How an answer's messages are written.
--- a/crates/flight/src/grpc.rs
+++ b/crates/flight/src/grpc.rs
@@ -235,16 +235,37 @@
 /// compressed.
 #[must_use]
 pub fn frame_pieces(pieces: Vec<Bytes>, encoding: Encoding) -> Vec<Bytes> {
-    let length = pieces.iter().map(Bytes::len).sum();
+    frame_headed(vec![0; 5], pieces, encoding)
+}
+
+/// Pieces shorter than this are put together with the one before.
+const SHORT: usize = 4096;
+
+/// The same for a message whose first piece has room for the frame's five bytes in front.
+#[must_use]
+pub fn frame_headed(mut first: Vec<u8>, rest: Vec<Bytes>, encoding: Encoding) -> Vec<Bytes> {
+    let length = first.len() - 5 + rest.iter().map(Bytes::len).sum::<usize>();
     if encoding == Encoding::Gzip && length >= WORTH {
-        let mut gzip = GzEncoder::new(Vec::new(), Compression::fast());
-        let written = pieces.iter().try_for_each(|piece| gzip.write_all(piece));
-        if let (Ok(()), Ok(packed)) = (written, gzip.finish()) {
-            return vec![Bytes::copy_from_slice(&head(true, packed.len())), packed.into()];
+        // The frame's length is known only afterwards.
+        let mut gzip = GzEncoder::new(vec![0; 5], Compression::fast());
+        let written = gzip.write_all(&first[5..]);
+        let written = written.and_then(|()| rest.iter().try_for_each(|piece| gzip.write_all(piece)));
+        if let (Ok(()), Ok(mut packed)) = (written, gzip.finish()) {
+            let size = packed.len() - 5;
+            packed[..5].copy_from_slice(&head(true, size));
+            return vec![packed.into()];
+        }
+    }
+    first[..5].copy_from_slice(&head(false, length));
+    let mut out = Vec::with_capacity(1 + rest.len());
+    for piece in rest {
+        if piece.len() < SHORT && out.is_empty() {
+            first.extend_from_slice(&piece);
+        } else {
+            out.push(piece);
         }
     }
-    let mut out = vec![Bytes::copy_from_slice(&head(false, length))];
-    out.extend(pieces);
+    out.insert(0, first.into());
     out
 }
 
--- /dev/null
+++ b/crates/mallowgauge/tests/flight.rs
@@ -0,0 +1,879 @@
+//! Conformance of the Flight front, asked by the client of the `arrow-flight` crate, which nobody here wrote.
+//! The catalogue in `docs/flight-conformance.md` names these tests.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use arrow_array::cast::AsArray;
+use arrow_array::types::{Float64Type, Int32Type, Int64Type, UInt32Type};
+use arrow_array::RecordBatch;
+use arrow_flight::error::FlightError;
+use arrow_flight::{
+    Action, CancelFlightInfoRequest, FlightClient, FlightData, FlightDescriptor, FlightInfo, Ticket,
+};
+use arrow_ipc::CompressionType;
+use bytes::Bytes;
+use futures::{StreamExt, TryStreamExt};
+use mallowgauge_flight::proto::{self, OptionValue, SessionOptionValue, SessionOptions};
+use mallowgauge_flight::seal;
+use mallowgauge_testkit::columns::{listings, Act, Dress, Script};
+use mallowgauge_testkit::{tls, Cluster};
+use prost::Message;
+use serde_json::{json, Value};
+use tonic::transport::{Certificate, Channel, ClientTlsConfig, Endpoint, Identity};
+use tonic::Code;
+
+/// Rows of each part's table.
+const ROWS: usize = 20;
+
+fn tables() -> Script {
+    Arc::new(|_, ticket, _| {
+        let shard = ticket["range"].as_u64().expect("a shard") as u32;
+        Act::Table(vec![listings(shard, ROWS / 2), listings(shard + 100, ROWS / 2)], Dress::default())
+    })
+}
+
+fn quiet(script: Script) -> Cluster {
+    Cluster::start(script, json!({}), |_| {})
+}
+
+async fn client(cluster: &Cluster) -> FlightClient {
+    let addr = format!("http://{}", cluster.program.flight);
+    FlightClient::new(Endpoint::new(addr).expect("an address").connect().await.expect("a connection"))
+}
+
+fn command(kind: &str, id: &str, shards: &[u32]) -> Value {
+    json!({"kind": kind, "id": id, "ranges": shards, "predicate": "c41e77d0"})
+}
+
+fn descriptor(command: &Value) -> FlightDescriptor {
+    FlightDescriptor::new_cmd(command.to_string())
+}
+
+fn ticket(info: &FlightInfo) -> Ticket {
+    info.endpoint[0].ticket.clone().expect("a ticket")
+}
+
+type Failed = (Code, Option<String>, Option<u64>);
+
+/// A status with its details: the reason, and the milliseconds to wait.
+fn status(error: FlightError) -> Failed {
+    match error {
+        FlightError::Tonic(status) => {
+            let mut map = http::HeaderMap::new();
+            if let Some(details) = status.metadata().get_bin("grpc-status-details-bin") {
+                let text = std::str::from_utf8(details.as_encoded_bytes()).expect("base64");
+                map.insert("grpc-status-details-bin", text.parse().expect("a value"));
+            } else if !status.details().is_empty() {
+                let text = base64(status.details());
+                map.insert("grpc-status-details-bin", text.parse().expect("a value"));
+            }
+            let (reason, wait) = mallowgauge_flight::grpc::details_of(&map);
+            (status.code(), reason, wait.map(|wait| wait / 1000))
+        }
+        other => panic!("no status: {other}"),
+    }
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut out = String::new();
+    for chunk in bytes.chunks(3) {
+        let word = chunk.iter().fold(0_u32, |sum, b| sum << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
+        for place in 0..=chunk.len() {
+            out.push(char::from(DIGITS[(word >> (18 - 6 * place)) as usize & 63]));
+        }
+    }
+    out
+}
+
+/// Redeems a ticket: its batches, and what the last message's metadata say.
+async fn get(client: &mut FlightClient, ticket: Ticket) -> Result<(Vec<RecordBatch>, Value), Failed> {
+    let mut request = tonic::Request::new(ticket);
+    *request.metadata_mut() = client.metadata().clone();
+    let response = client.inner_mut().do_get(request).await.map_err(|e| status(e.into()))?;
+    let messages: Vec<FlightData> =
+        response.into_inner().try_collect().await.map_err(|e| status(e.into()))?;
+    let last = messages.last().map(|data| data.app_metadata.clone()).unwrap_or_default();
+    let inner = messages[..messages.len() - 1].iter().any(|data| !data.app_metadata.is_empty());
+    assert!(!inner, "only the last message says whether the answer is whole");
+    let decoded = arrow_flight::decode::FlightRecordBatchStream::new_from_flight_data(futures::stream::iter(
+        messages.into_iter().map(Ok),
+    ));
+    let batches = decoded.try_collect().await.expect("batches that another's reader takes");
+    Ok((batches, serde_json::from_slice(&last).expect("JSON")))
+}
+
+async fn ask(client: &mut FlightClient, command: &Value) -> Result<(Vec<RecordBatch>, Value), Failed> {
+    let info = client.get_flight_info(descriptor(command)).await.map_err(status)?;
+    get(client, ticket(&info)).await
+}
+
+/// The rows of each part, by its number.
+fn by_part(batches: &[RecordBatch]) -> BTreeMap<u32, usize> {
+    let mut rows = BTreeMap::new();
+    for batch in batches {
+        let column = batch.column_by_name("range").expect("a column range");
+        for shard in column.as_primitive::<UInt32Type>().values() {
+            *rows.entry(*shard).or_default() += 1;
+        }
+    }
+    rows
+}
+
+#[tokio::test]
+async fn tables_come_as_the_hosts_made_them() {
+    let cluster = quiet(tables());
+    let mut client = client(&cluster).await;
+    let (batches, said) = ask(&mut client, &command("search", "q1", &[0, 1, 2])).await.expect("an answer");
+    assert_eq!(said, json!({"total": true}));
+    assert_eq!(by_part(&batches), BTreeMap::from([(0, ROWS), (1, ROWS), (2, ROWS)]));
+    for batch in &batches {
+        let shard = batch.column_by_name("range").expect("range").as_primitive::<UInt32Type>().value(0);
+        // Each part's first batch holds its own listings and its second those numbered a hundred higher;
+        // which of them this is shows in the first id.
+        let first = batch.column_by_name("listing").expect("ids").as_primitive::<Int64Type>().value(0);
+        let from = u32::try_from(first / 1_000_000).expect("a shard");
+        assert!(from == shard || from == shard + 100);
+        let made = listings(from, ROWS / 2);
+        for name in ["listing", "price", "tags", "note"] {
+            assert_eq!(batch.column_by_name(name), made.column_by_name(name), "{name}");
+        }
+        // Dictionaries are replaced from part to part; the words have to be each part's own.
+        let words = |batch: &RecordBatch| -> Vec<String> {
+            let column = batch.column_by_name("maker").expect("makers").as_dictionary::<Int32Type>();
+            let values = column.values().as_string::<i32>();
+            column.keys().iter().map(|key| values.value(key.expect("a key") as usize).to_owned()).collect()
+        };
+        assert_eq!(words(batch), words(&made));
+    }
+}
+
+#[tokio::test]
+async fn nulls_are_widened_and_other_columns_are_spoilt() {
+    // Host 0 and 1 agree but for nulls; whatever host 2 is asked has another type, and counts as spoilt.
+    let script: Script = Arc::new(|host, ticket, _| {
+        let shard = ticket["range"].as_u64().expect("a shard") as u32;
+        let batch = listings(shard, 4);
+        let (schema, mut columns) = (batch.schema(), batch.columns().to_vec());
+        let mut fields: Vec<_> = schema.fields().iter().map(|f| f.as_ref().clone()).collect();
+        if shard == 1 {
+            fields[0] = fields[0].clone().with_nullable(true);
+        }
+        if host == 2 {
+            fields[0] = arrow_schema::Field::new("listing", arrow_schema::DataType::Float64, false);
+            let ids = columns[0].as_primitive::<Int64Type>().values().iter().map(|&id| id as f64);
+            columns[0] = Arc::new(ids.collect::<arrow_array::PrimitiveArray<Float64Type>>());
+        }
+        let batch = RecordBatch::try_new(Arc::new(arrow_schema::Schema::new(fields)), columns);
+        Act::Table(vec![batch.expect("a batch")], Dress::default())
+    });
+    let cluster = quiet(script);
+    let mut client = client(&cluster).await;
+    let mut odd = 0;
+    for i in 0..8 {
+        let id = format!("q{i}");
+        match ask(&mut client, &command("search", &id, &[0, 1])).await {
+            Ok((batches, said)) => {
+                assert_eq!(said, json!({"total": true}));
+                assert_eq!(by_part(&batches), BTreeMap::from([(0, 4), (1, 4)]));
+                let kinds: std::collections::BTreeSet<String> =
+                    batches.iter().map(|b| b.schema().field(0).data_type().to_string()).collect();
+                assert_eq!(kinds.len(), 1, "no answer mixes types");
+            }
+            Err(_) => odd += 1,
+        }
+    }
+    assert!(odd < 8, "hosts that agree answer together");
+}
+
+#[tokio::test]
+async fn compressed_bodies_and_messages_are_taken_from_hosts() {
+    for dress in [
+        Dress { body: Some(CompressionType::LZ4_FRAME), gzip: false },
+        Dress { body: Some(CompressionType::ZSTD), gzip: false },
+        Dress { body: None, gzip: true },
+    ] {
+        let script: Script = Arc::new(move |_, ticket, _| {
+            Act::Table(vec![listings(ticket["range"].as_u64().expect("a shard") as u32, 1000)], dress)
+        });
+        let cluster = quiet(script);
+        let mut client = client(&cluster).await;
+        let (batches, said) = ask(&mut client, &command("search", "q1", &[0, 1])).await.expect("an answer");
+        assert_eq!(said, json!({"total": true}), "{dress:?}");
+        assert_eq!(by_part(&batches), BTreeMap::from([(0, 1000), (1, 1000)]));
+        let batch = &batches[0];
+        let shard = batch.column_by_name("range").expect("range").as_primitive::<UInt32Type>().value(0);
+        assert_eq!(batch.column_by_name("price"), listings(shard, 1000).column_by_name("price"));
+    }
+}
+
+#[tokio::test]
+async fn a_client_that_compresses_gets_compressed_answers() {
+    let cluster = quiet(tables());
+    let addr = format!("http://{}", cluster.program.flight);
+    let mut raw = mallowgauge_testkit::raw::Raw::connect(cluster.program.flight);
+    let descriptor = proto::FlightDescriptor::command(command("search", "q1", &[0]).to_string().into());
+    let gzip = mallowgauge_flight::grpc::frame_pieces(
+        vec![
+            Bytes::from([descriptor.encode_to_vec(), vec![]].concat()),
+            Bytes::from(
+                vec![0x1a, 0xfe, 0x04].into_iter().chain(std::iter::repeat_n(b'p', 638)).collect::<Vec<u8>>(),
+            ),
+        ],
+        mallowgauge_flight::grpc::Encoding::Gzip,
+    );
+    let bytes = gzip.concat();
+    assert_eq!(bytes[0], 1, "the request is compressed");
+    let stream = raw.call("GetFlightInfo", &[("grpc-encoding", "gzip")], &bytes);
+    let mut answer = Vec::new();
+    // Read by hand: the frames' flag is what this is about.
+    let mut lines = Vec::new();
+    while let Some(frame) = raw.read() {
+        if frame.stream == stream && frame.kind == 0 {
+            answer.extend_from_slice(&frame.payload);
+        }
+        lines.push(frame.kind);
+        if frame.stream == stream && frame.flags & 1 != 0 {
+            break;
+        }
+    }
+    assert_eq!(answer.first(), Some(&1), "the answer is compressed: {addr} {lines:?}");
+}
+
+#[tokio::test]
+async fn unknown_encodings_and_methods_are_refused_as_the_specification_says() {
+    let cluster = quiet(tables());
+    let mut raw = mallowgauge_testkit::raw::Raw::connect(cluster.program.flight);
+    let reply = raw.ask("DoGet", &[("grpc-encoding", "br")], b"\0\0\0\0\0");
+    assert_eq!((reply.status(), reply.line("grpc-accept-encoding")), (Some(12), Some("identity,gzip")));
+    assert_eq!(raw.ask("DoNothing", &[], b"").status(), Some(12));
+    assert_eq!(raw.ask("/other.Service/DoGet", &[], b"").status(), Some(12));
+    // A message that says it is compressed on a call that did not.
+    assert_eq!(raw.ask("DoGet", &[], b"\x01\0\0\0\0").status(), Some(13));
+    assert_eq!(raw.ask("DoGet", &[("grpc-timeout", "5 parsecs")], b"\0\0\0\0\0").status(), Some(3));
+    // A gzip bomb: ten megabytes of zeros in a few kilobytes.
+    let bomb = vec![Bytes::from(vec![0_u8; 10 << 20])];
+    let bomb =
+        mallowgauge_flight::grpc::frame_pieces(bomb, mallowgauge_flight::grpc::Encoding::Gzip).concat();
+    assert!(bomb.len() < 64 << 10);
+    assert_eq!(raw.ask("DoGet", &[("grpc-encoding", "gzip")], &bomb).status(), Some(8));
+}
+
+#[tokio::test]
+async fn a_report_is_partial_from_four_parts_of_five_on_every_method() {
+    let script: Script = Arc::new(|_, ticket, _| match ticket["range"].as_u64() {
+        Some(4) => Act::Hang,
+        shard => Act::Table(vec![listings(shard.expect("a shard") as u32, 4)], Dress::default()),
+    });
+    let cluster = quiet(script);
+    let mut client = client(&cluster).await;
+    let four: BTreeMap<u32, usize> = (0..4).map(|shard| (shard, 4)).collect();
+    let (batches, said) =
+        ask(&mut client, &command("sales-report", "g", &[0, 1, 2, 3, 4])).await.expect("an answer");
+    assert_eq!((by_part(&batches), said), (four.clone(), json!({"total": false})));
+    // Polled.
+    let (info, _) = poll(&mut client, &command("sales-report", "p", &[0, 1, 2, 3, 4])).await.expect("an end");
+    let (batches, said) = get(&mut client, ticket(&info)).await.expect("the outcome");
+    assert_eq!((by_part(&batches), said), (four.clone(), json!({"total": false})));
+    // On a long stream.
+    let query =
+        json!({"tag": "x", "kind": "sales-report", "ranges": [0, 1, 2, 3, 4], "predicate": "c41e77d0"});
+    let told = exchange(&mut client, vec![query]).await;
+    assert_eq!(told["x"].0["status"], "partial");
+    assert_eq!(told["x"].1, 16);
+    // In bulk.
+    let put = put(
+        &mut client,
+        vec![json!({"kind": "sales-report", "ranges": [0, 1, 2, 3, 4], "predicate": "c41e77d0"})],
+    )
+    .await;
+    assert_eq!((&put[0]["status"], &put[0]["total"]), (&json!("partial"), &json!(false)));
+    // A session that takes only whole answers is told that this is none.
+    set_options(&mut client, &[("whole_only", OptionValue::Flag(true))]).await;
+    let failed =
+        ask(&mut client, &command("sales-report", "w", &[0, 1, 2, 3, 4])).await.expect_err("a failure");
+    assert_eq!((failed.0, failed.1.as_deref()), (Code::Aborted, Some("PARTIAL")));
+}
+
+/// Polls to the end: the last `FlightInfo`, and how many calls that took.
+async fn poll(client: &mut FlightClient, command: &Value) -> Result<(FlightInfo, u32), Failed> {
+    let mut next = descriptor(command);
+    let mut seen = 0.0;
+    for calls in 1..100 {
+        let info = client.poll_flight_info(next).await.map_err(status)?;
+        let progress = info.progress.expect("progress");
+        assert!((seen..=1.0).contains(&progress), "progress never falls");
+        seen = progress;
+        match info.flight_descriptor {
+            None => {
+                assert!(info.expiration_time.is_some());
+                return Ok((info.info.expect("a FlightInfo"), calls));
+            }
+            Some(again) => next = again,
+        }
+    }
+    panic!("it never ends")
+}
+
+/// Rows sent on an exchange: what is told of each tag, and its rows.
+async fn exchange(client: &mut FlightClient, said: Vec<Value>) -> BTreeMap<String, (Value, usize)> {
+    let wanted = said.iter().filter(|value| value.get("tag").is_some()).count();
+    let messages = said
+        .into_iter()
+        .map(|value| FlightData { app_metadata: value.to_string().into(), ..FlightData::default() });
+    let stream = futures::stream::iter(messages.collect::<Vec<FlightData>>());
+    let response = client.inner_mut().do_exchange(stream).await.expect("an exchange").into_inner();
+    let all: Vec<FlightData> = response.try_collect().await.expect("messages");
+    // This client's reader takes no message of metadata alone, which others do; it is given the rest.
+    let with_header = all.iter().filter(|data| !data.data_header.is_empty()).cloned().map(Ok);
+    let stream = futures::stream::iter(with_header.collect::<Vec<Result<FlightData, FlightError>>>());
+    let decoded = arrow_flight::decode::FlightRecordBatchStream::new_from_flight_data(stream);
+    let mut batches =
+        decoded.map(|batch| batch.expect("a batch").num_rows()).collect::<Vec<_>>().await.into_iter();
+    let mut told = BTreeMap::<String, (Value, usize)>::new();
+    for message in all {
+        let metadata: Value = serde_json::from_slice(&message.app_metadata).unwrap_or_default();
+        let kind = arrow_ipc::root_as_message(&message.data_header).map(|head| head.header_type());
+        let rows = match kind {
+            Ok(arrow_ipc::MessageHeader::RecordBatch) => batches.next().expect("a batch for each message"),
+            _ => 0,
+        };
+        let Some(tag) = metadata["tag"].as_str() else { continue };
+        let entry = told.entry(tag.to_owned()).or_default();
+        entry.1 += rows;
+        if metadata.get("status").is_some() {
+            assert!(entry.0.is_null(), "one final answer for each tag");
+            entry.0 = metadata;
+        }
+    }
+    assert_eq!(told.len(), wanted);
+    told
+}
+
+/// Queries as rows of a table, and the result of each.
+async fn put(client: &mut FlightClient, queries: Vec<Value>) -> Vec<Value> {
+    use arrow_schema::{DataType, Field, Schema};
+    let item = Arc::new(Field::new("item", DataType::UInt32, true));
+    let fields = vec![
+        Field::new("id", DataType::Utf8, true),
+        Field::new("kind", DataType::Utf8, true),
+        Field::new("ranges", DataType::List(item), true),
+        Field::new("predicate", DataType::Utf8, true),
+    ];
+    let schema = Arc::new(Schema::new(fields));
+    let text = |key: &str| -> arrow_array::ArrayRef {
+        Arc::new(
+            queries.iter().map(|q| q[key].as_str().map(str::to_owned)).collect::<arrow_array::StringArray>(),
+        )
+    };
+    let ranges = arrow_array::ListArray::from_iter_primitive::<UInt32Type, _, _>(queries.iter().map(|q| {
+        let all = q["ranges"].as_array()?;
+        Some(all.iter().map(|v| v.as_u64().map(|n| n as u32)).collect::<Vec<_>>())
+    }));
+    let columns = vec![text("id"), text("kind"), Arc::new(ranges), text("predicate")];
+    let batch = RecordBatch::try_new(schema, columns).expect("a batch");
+    let stream = arrow_flight::encode::FlightDataEncoderBuilder::new()
+        .with_flight_descriptor(Some(FlightDescriptor::new_cmd("{}")))
+        .build(futures::stream::iter([Ok(batch)]));
+    let results = client.do_put(stream).await.expect("a stream");
+    let results: Vec<_> = results.try_collect().await.expect("results");
+    let mut told: Vec<Value> =
+        results.iter().map(|r| serde_json::from_slice(&r.app_metadata).expect("JSON")).collect();
+    told.sort_by_key(|value| value["row"].as_u64());
+    told
+}
+
+async fn set_options(client: &mut FlightClient, options: &[(&str, OptionValue)]) -> BTreeMap<String, i32> {
+    let value = |v: &OptionValue| SessionOptionValue { option_value: Some(v.clone()) };
+    let session_options = options.iter().map(|(name, v)| ((*name).to_owned(), value(v))).collect();
+    let body = SessionOptions { session_options }.encode_to_vec();
+    let request = tonic::Request::new(Action::new("SetSessionOptions", body));
+    let response = client.inner_mut().do_action(request).await.expect("an action");
+    if let Some(cookie) = response.metadata().get("set-cookie") {
+        let cookie = cookie.to_str().expect("text").to_owned();
+        client.add_header("cookie", &cookie).expect("a header");
+    }
+    let result = response.into_inner().try_next().await.expect("a result").expect("one");
+    let result = proto::SetSessionOptionsResult::decode(result.body).expect("a result");
+    result.errors.into_iter().map(|(name, error)| (name, error.value)).collect()
+}
+
+#[tokio::test]
+async fn a_ticket_of_a_hold_runs_once_and_tells_its_first_outcome() {
+    let cluster = quiet(tables());
+    let mut client = client(&cluster).await;
+    let info = client.get_flight_info(descriptor(&command("place-hold", "h1", &[0, 1]))).await.expect("info");
+    let (first, said) = get(&mut client, ticket(&info)).await.expect("the outcome");
+    let (second, again) = get(&mut client, ticket(&info)).await.expect("the outcome");
+    assert_eq!((first, said), (second, again));
+    // Another ticket for the same id, a row and an exchange with it are the same hold.
+    let (third, _) = ask(&mut client, &command("place-hold", "h1", &[0, 1])).await.expect("the outcome");
+    assert_eq!(by_part(&third), BTreeMap::from([(0, ROWS), (1, ROWS)]));
+    let told = put(&mut client, vec![command("place-hold", "h1", &[0, 1])]).await;
+    assert_eq!((&told[0]["status"], &told[0]["id"]), (&json!("whole"), &json!("h1")));
+    let mut query = command("place-hold", "h1", &[0, 1]);
+    query["tag"] = json!("t");
+    assert_eq!(exchange(&mut client, vec![query]).await["t"].0["status"], "whole");
+    assert_eq!(poll(&mut client, &command("place-hold", "h1", &[0, 1])).await.expect("an end").1, 1);
+    assert_eq!(cluster.runs("h1"), [(0, 1), (1, 1)]);
+    // The same id for another question is refused.
+    let failed = ask(&mut client, &command("place-hold", "h1", &[2])).await.expect_err("a refusal");
+    assert_eq!((failed.0, failed.1.as_deref()), (Code::AlreadyExists, Some("ID_IN_USE")));
+    // A search is asked anew each time.
+    for _ in 0..2 {
+        ask(&mut client, &command("search", "s1", &[0])).await.expect("an answer");
+    }
+    assert_eq!(cluster.runs("s1"), [(0, 2)]);
+}
+
+#[tokio::test]
+async fn a_hold_cut_halfway_is_never_run_twice_on_any_method() {
+    let script: Script = Arc::new(|_, ticket, _| {
+        let shard = ticket["range"].as_u64().expect("a shard") as u32;
+        Act::Cut(vec![listings(shard, 1000)], 4000)
+    });
+    let cluster = quiet(script);
+    let mut client = client(&cluster).await;
+    let info = client.get_flight_info(descriptor(&command("place-hold", "get", &[0]))).await.expect("info");
+    for _ in 0..3 {
+        let failed = get(&mut client, ticket(&info)).await.expect_err("a failure");
+        assert_eq!(failed.0, Code::Internal);
+    }
+    for _ in 0..2 {
+        let told = put(&mut client, vec![command("place-hold", "put", &[0])]).await;
+        assert_eq!(told[0]["status"], "failed");
+        let mut query = command("place-hold", "exchange", &[0]);
+        query["tag"] = json!("t");
+        assert_eq!(exchange(&mut client, vec![query]).await["t"].0["status"], "failed");
+        let failed = poll(&mut client, &command("place-hold", "poll", &[0])).await.expect_err("a failure");
+        assert_eq!(failed.0, Code::Internal);
+    }
+    for id in ["get", "put", "exchange", "poll"] {
+        assert_eq!(cluster.runs(id), [(0, 1)], "{id}");
+    }
+}
+
+#[tokio::test]
+async fn a_hold_that_a_host_turned_away_goes_elsewhere() {
+    let script: Script = Arc::new(|_, ticket, before| match before {
+        0 => Act::Later,
+        _ => {
+            Act::Table(vec![listings(ticket["range"].as_u64().expect("a shard") as u32, 2)], Dress::default())
+        }
+    });
+    let cluster = quiet(script);
+    let mut client = client(&cluster).await;
+    let (batches, _) = ask(&mut client, &command("place-hold", "h", &[0])).await.expect("an answer");
+    assert_eq!((by_part(&batches), cluster.runs("h")), (BTreeMap::from([(0, 2)]), vec![(0, 2)]));
+}
+
+#[tokio::test]
+async fn a_polled_report_goes_on_between_polls_and_ends_once() {
+    let cluster = quiet(tables());
+    let mut client = client(&cluster).await;
+    let wish = command("sales-report", "r1", &[0, 1, 2]);
+    let (info, calls) = poll(&mut client, &wish).await.expect("an end");
+    assert!(calls >= 2, "the first call only begins it");
+    assert_eq!(info.total_records, 3 * ROWS as i64);
+    assert!(info.total_bytes > 0 && !info.schema.is_empty());
+    let (first, said) = get(&mut client, ticket(&info)).await.expect("the outcome");
+    let (again, _) = get(&mut client, ticket(&info)).await.expect("the outcome");
+    assert_eq!((by_part(&first).len(), said), (3, json!({"total": true})));
+    assert_eq!(first, again);
+    assert_eq!(poll(&mut client, &wish).await.expect("an end").1, 1);
+    assert_eq!(cluster.runs("r1"), [(0, 1), (1, 1), (2, 1)]);
+}
+
+#[tokio::test]
+async fn flights_are_cancelled_renewed_and_expired() {
+    let script: Script = Arc::new(|_, ticket, _| match ticket["range"].as_u64() {
+        Some(0) => Act::Hang,
+        shard => Act::Table(vec![listings(shard.expect("a shard") as u32, 2)], Dress::default()),
+    });
+    let cluster = quiet(script);
+    let mut client = client(&cluster).await;
+    // One that runs: whoever waits is told.
+    let slow = client.get_flight_info(descriptor(&command("search", "slow", &[0]))).await.expect("info");
+    let mut other = FlightClient::new(channel(&cluster).await);
+    let waits = tokio::spawn({
+        let ticket = ticket(&slow);
+        async move { get(&mut other, ticket).await }
+    });
+    while cluster.runs("slow").is_empty() {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    let result =
+        client.cancel_flight_info(CancelFlightInfoRequest::new(slow.clone())).await.expect("a result");
+    assert_eq!(result.status(), arrow_flight::CancelStatus::Cancelled);
+    assert_eq!(waits.await.expect("a task").expect_err("a failure").0, Code::Cancelled);
+    assert_eq!(get(&mut client, ticket(&slow)).await.expect_err("a failure").0, Code::Cancelled);
+    // A hold that may have run cannot be.
+    let hold = client.get_flight_info(descriptor(&command("place-hold", "hold", &[0]))).await.expect("info");
+    let mut other = FlightClient::new(channel(&cluster).await);
+    let waits = tokio::spawn({
+        let ticket = ticket(&hold);
+        async move { get(&mut other, ticket).await }
+    });
+    while cluster.runs("hold").is_empty() {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    let result = client.cancel_flight_info(CancelFlightInfoRequest::new(hold)).await.expect("a result");
+    assert_eq!(result.status(), arrow_flight::CancelStatus::NotCancellable);
+    waits.abort();
+    // One that has not been used counts no longer once it is expired, and a renewed one counts for longer.
+    let info = client.get_flight_info(descriptor(&command("search", "fresh", &[1]))).await.expect("info");
+    let request = arrow_flight::RenewFlightEndpointRequest::new(info.endpoint[0].clone());
+    let renewed = client.renew_flight_endpoint(request).await.expect("an endpoint");
+    let until = |e: &arrow_flight::FlightEndpoint| {
+        let at = e.expiration_time.as_ref().expect("a time");
+        (at.seconds, at.nanos)
+    };
+    assert!(until(&renewed) >= until(&info.endpoint[0]));
+    get(&mut client, renewed.ticket.clone().expect("a ticket")).await.expect("an answer");
+    let action = Action::new("ExpireFlightEndpoint", renewed.encode_to_vec());
+    let none: Vec<Bytes> =
+        client.do_action(action).await.expect("an action").try_collect().await.expect("results");
+    assert!(none.is_empty());
+    assert_eq!(get(&mut client, ticket(&info)).await.expect_err("a failure").0, Code::Cancelled);
+}
+
+async fn channel(cluster: &Cluster) -> Channel {
+    let addr = format!("http://{}", cluster.program.flight);
+    Endpoint::new(addr).expect("an address").connect().await.expect("a connection")
+}
+
+#[tokio::test]
+async fn schemas_flights_and_actions_are_listed() {
+    let cluster = quiet(tables());
+    let mut client = client(&cluster).await;
+    // No host has shown its columns yet.
+    let wish = command("search", "q", &[0]);
+    let failed = status(client.get_schema(descriptor(&wish)).await.expect_err("nothing known"));
+    assert_eq!((failed.0, failed.1.as_deref()), (Code::NotFound, Some("SCHEMA_UNKNOWN")));
+    let (batches, _) = ask(&mut client, &wish).await.expect("an answer");
+    let schema = client.get_schema(descriptor(&wish)).await.expect("a schema");
+    assert_eq!(schema.fields().len(), 6);
+    assert_eq!(&schema, batches[0].schema().as_ref());
+    let path = FlightDescriptor::new_path(vec!["search".to_owned()]);
+    assert_eq!(client.get_schema(path).await.expect("a schema"), schema);
+    ask(&mut client, &command("place-hold", "h", &[0])).await.expect("an answer");
+    let list = |client: &mut FlightClient, wish: Value| {
+        let expression = if wish.is_null() { String::new() } else { wish.to_string() };
+        let mut inner = client.inner().clone();
+        async move {
+            let criteria = arrow_flight::Criteria { expression: expression.into() };
+            let stream = inner.list_flights(criteria).await?.into_inner();
+            let infos: Vec<FlightInfo> = stream.try_collect().await?;
+            let told = |i: &FlightInfo| serde_json::from_slice::<Value>(&i.app_metadata).expect("JSON");
+            Ok::<Vec<Value>, tonic::Status>(infos.iter().map(told).collect())
+        }
+    };
+    let all = list(&mut client, Value::Null).await.expect("flights");
+    let kinds: Vec<&str> = all.iter().filter_map(|f| f["kind"].as_str()).collect();
+    assert_eq!(kinds, ["search", "place-hold", "sales-report"]);
+    assert!(all.iter().any(|f| f["id"] == "h" && f["state"] == "done"), "{all:?}");
+    let one = list(&mut client, json!({"kind": "search"})).await.expect("flights");
+    assert_eq!(one.len(), 1);
+    let failed = list(&mut client, json!({"colour": "red"})).await.expect_err("no such criterion");
+    assert_eq!(failed.code(), Code::InvalidArgument);
+    let actions: Vec<_> = client.list_actions().await.expect("actions").try_collect().await.expect("all");
+    let names: Vec<&str> = actions.iter().map(|a| a.r#type.as_str()).collect();
+    for name in [
+        "CancelFlightInfo",
+        "RenewFlightEndpoint",
+        "SetSessionOptions",
+        "GetSessionOptions",
+        "CloseSession",
+        "Advice",
+    ] {
+        assert!(names.contains(&name), "{name}");
+    }
+    let advice: Vec<Bytes> = client
+        .do_action(Action::new("Advice", ""))
+        .await
+        .expect("an action")
+        .try_collect()
+        .await
+        .expect("one");
+    let advice: Value = serde_json::from_slice(&advice[0]).expect("JSON");
+    assert!(advice["retry_after_ms"].is_u64() && advice["serving"] == true);
+    let failed = match client.do_action(Action::new("Dance", "")).await {
+        Ok(stream) => status(stream.try_collect::<Vec<Bytes>>().await.expect_err("no such action")),
+        Err(e) => status(e),
+    };
+    assert_eq!((failed.0, failed.1.as_deref()), (Code::Unimplemented, Some("NO_SUCH_ACTION")));
+}
+
+#[tokio::test]
+async fn a_query_is_split_over_ordered_endpoints() {
+    let cluster = quiet(tables());
+    let mut client = client(&cluster).await;
+    let mut wish = command("search", "q", &[0, 1, 2, 3, 4]);
+    wish["endpoints"] = json!(2);
+    let info = client.get_flight_info(descriptor(&wish)).await.expect("info");
+    assert_eq!((info.endpoint.len(), info.ordered), (2, true));
+    let mut parts = BTreeMap::new();
+    for endpoint in &info.endpoint {
+        assert!(endpoint.expiration_time.is_some() && endpoint.location.is_empty());
+        let (batches, said) =
+            get(&mut client, endpoint.ticket.clone().expect("a ticket")).await.expect("rows");
+        assert_eq!(said, json!({"total": true}));
+        parts.extend(by_part(&batches));
+    }
+    assert_eq!(parts, (0..5).map(|shard| (shard, ROWS)).collect());
+    let mut hold = command("place-hold", "h", &[0, 1]);
+    hold["endpoints"] = json!(2);
+    let failed = status(client.get_flight_info(descriptor(&hold)).await.expect_err("it has an effect"));
+    assert_eq!(failed.0, Code::InvalidArgument);
+}
+
+#[tokio::test]
+async fn sessions_keep_their_options() {
+    let script: Script = Arc::new(|_, _, _| Act::Fail(Code::Internal.into_grpc()));
+    let cluster = quiet(script);
+    let mut client = client(&cluster).await;
+    let errors = set_options(
+        &mut client,
+        &[
+            ("compression", OptionValue::Text("zstd".to_owned())),
+            ("timeout_ms", OptionValue::Whole(-4)),
+            ("colour", OptionValue::Text("red".to_owned())),
+        ],
+    )
+    .await;
+    assert_eq!(errors, BTreeMap::from([("colour".to_owned(), 1), ("timeout_ms".to_owned(), 2)]));
+    let options = |client: &mut FlightClient| {
+        let request = tonic::Request::new(Action::new("GetSessionOptions", ""));
+        let mut inner = client.inner().clone();
+        let metadata = client.metadata().clone();
+        async move {
+            let mut request = request;
+            *request.metadata_mut() = metadata;
+            let mut stream = inner.do_action(request).await.expect("an action").into_inner();
+            let result = stream.try_next().await.expect("a result").expect("one");
+            SessionOptions::decode(result.body).expect("options").session_options
+        }
+    };
+    let said = options(&mut client).await;
+    assert_eq!(said["compression"].option_value, Some(OptionValue::Text("zstd".to_owned())));
+    assert_eq!(said["timeout_ms"].option_value, None);
+    let closed: Vec<Bytes> = client
+        .do_action(Action::new("CloseSession", ""))
+        .await
+        .expect("an action")
+        .try_collect()
+        .await
+        .expect("one");
+    assert_eq!(proto::CloseSessionResult::decode(closed[0].clone()).expect("a result").status, 1);
+    assert_eq!(
+        options(&mut client).await["compression"].option_value,
+        Some(OptionValue::Text("none".to_owned()))
+    );
+}
+
+trait IntoGrpc {
+    fn into_grpc(self) -> mallowgauge_flight::grpc::Code;
+}
+
+impl IntoGrpc for Code {
+    fn into_grpc(self) -> mallowgauge_flight::grpc::Code {
+        assert_eq!(self, Code::Internal);
+        mallowgauge_flight::grpc::Code::Internal
+    }
+}
+
+#[tokio::test]
+async fn an_exchange_answers_as_answers_come_and_cancels_one() {
+    let script: Script = Arc::new(|_, ticket, _| match ticket["range"].as_u64() {
+        Some(9) => Act::Hang,
+        shard => Act::Table(vec![listings(shard.expect("a shard") as u32, 4)], Dress::default()),
+    });
+    let cluster = quiet(script);
+    let mut client = client(&cluster).await;
+    let query = |tag: &str, kind: &str, shards: &[u32]| {
+        let mut all = command(kind, &format!("x-{tag}"), shards);
+        all["tag"] = json!(tag);
+        all
+    };
+    let mut said: Vec<Value> = (0..30).map(|i| query(&format!("s{i}"), "search", &[i % 5])).collect();
+    said.push(query("slow", "search", &[9]));
+    said.push(query("odd", "browse", &[1]));
+    said.push(json!({"cancel": "slow"}));
+    let told = exchange(&mut client, said).await;
+    for i in 0..30 {
+        let (status, rows) = &told[&format!("s{i}")];
+        assert_eq!((&status["status"], *rows), (&json!("whole"), 4), "{i}: {status}");
+    }
+    assert_eq!(told["slow"].0["status"], "cancelled");
+    assert_eq!(
+        (&told["odd"].0["status"], &told["odd"].0["error"]),
+        (&json!("invalid"), &json!("the class is unknown"))
+    );
+}
+
+#[tokio::test]
+async fn holds_in_bulk_have_one_result_a_row() {
+    let cluster = quiet(tables());
+    let mut client = client(&cluster).await;
+    let queries: Vec<Value> = (0..200)
+        .map(|i| match i {
+            7 => json!({"id": "odd", "kind": "place-hold", "ranges": [77], "predicate": "c41e77d0"}),
+            _ => command("place-hold", &format!("bulk-{i}"), &[i % 10]),
+        })
+        .collect();
+    let told = put(&mut client, queries).await;
+    assert_eq!(told.len(), 200);
+    for (row, value) in told.iter().enumerate() {
+        assert_eq!(value["row"], row);
+        // What finds no room is refused, and says when to come back; it has not run.
+        match (row, value["status"].as_str()) {
+            (7, status) => assert_eq!(status, Some("invalid")),
+            (_, Some("whole")) => assert_eq!(cluster.runs(&format!("bulk-{row}")).len(), 1),
+            (_, Some("refused")) => assert!(value["retry_after_ms"].as_u64() > Some(0), "{value}"),
+            (_, other) => panic!("row {row}: {other:?}: {value}"),
+        }
+    }
+    let whole = told.iter().filter(|value| value["status"] == "whole").count();
+    assert!(whole > 100, "{whole} of 200");
+}
+
+#[tokio::test]
+async fn users_have_tokens_and_tickets_of_their_own() {
+    let folder = std::env::temp_dir().join(format!("mallowgauge-users-{}", std::process::id()));
+    let secret = |password: &str| seal::secret(password, b"salt", 1000);
+    let text = format!("# who may call\nann:{}\nbob:{}\n", secret("wheat"), secret("oats"));
+    let users = tls::file(&folder, "users.txt", &text);
+    let key = tls::file(&folder, "flight.key", "a key that two copies share");
+    let told = json!({"users": users, "key": key});
+    let (cluster, copy) =
+        (Cluster::start(tables(), told.clone(), |_| {}), Cluster::start(tables(), told, |_| {}));
+    let mut nobody = client(&cluster).await;
+    let failed =
+        status(nobody.get_flight_info(descriptor(&command("search", "q", &[0]))).await.expect_err("nobody"));
+    assert_eq!(failed.0, Code::Unauthenticated);
+    // A basic line in, a token out.
+    let login = |addr: std::net::SocketAddr, name: &'static str, password: &'static str| async move {
+        let channel = Endpoint::new(format!("http://{addr}")).expect("an address").connect().await;
+        let mut client = FlightClient::new(channel.expect("a connection"));
+        let basic = base64(format!("{name}:{password}").as_bytes());
+        let padded = format!("{basic}{}", "=".repeat((4 - basic.len() % 4) % 4));
+        client.add_header("authorization", &format!("Basic {padded}")).expect("a header");
+        let request = futures::stream::iter([arrow_flight::HandshakeRequest::default()]);
+        let mut request = tonic::Request::new(request);
+        *request.metadata_mut() = client.metadata().clone();
+        let response = client.inner_mut().handshake(request).await?;
+        let bearer = response.metadata().get("authorization").map(|v| v.to_str().expect("text").to_owned());
+        Ok::<String, tonic::Status>(bearer.expect("a token"))
+    };
+    let wrong = login(cluster.program.flight, "ann", "oats").await.expect_err("a wrong password");
+    assert_eq!(wrong.code(), Code::Unauthenticated);
+    let ann = login(cluster.program.flight, "ann", "wheat").await.expect("a token");
+    let bob = login(cluster.program.flight, "bob", "oats").await.expect("a token");
+    let mut as_ann = client(&cluster).await;
+    as_ann.add_header("authorization", &ann).expect("a header");
+    let info = as_ann.get_flight_info(descriptor(&command("search", "q", &[0]))).await.expect("info");
+    get(&mut as_ann, ticket(&info)).await.expect("an answer");
+    // Another user's ticket is worth nothing, and so is a changed one.
+    let mut as_bob = client(&cluster).await;
+    as_bob.add_header("authorization", &bob).expect("a header");
+    let failed = get(&mut as_bob, ticket(&info)).await.expect_err("not his");
+    assert_eq!(failed.0, Code::PermissionDenied);
+    let mut changed = ticket(&info);
+    changed.ticket =
+        changed.ticket.iter().enumerate().map(|(i, b)| if i == 40 { b ^ 1 } else { *b }).collect();
+    let failed = get(&mut as_ann, changed).await.expect_err("forged");
+    assert_eq!((failed.0, failed.1.as_deref()), (Code::InvalidArgument, Some("TICKET_FORGED")));
+    // A copy with the same key takes token and ticket; but not a hold, which may have run elsewhere.
+    let hold = as_ann.get_flight_info(descriptor(&command("place-hold", "h", &[0]))).await.expect("info");
+    let mut at_copy = client(&copy).await;
+    at_copy.add_header("authorization", &ann).expect("a header");
+    get(&mut at_copy, ticket(&info)).await.expect("an answer");
+    let failed = get(&mut at_copy, ticket(&hold)).await.expect_err("another's");
+    assert_eq!((failed.0, failed.1.as_deref()), (Code::FailedPrecondition, Some("OTHER_ISSUER")));
+    assert_eq!(copy.runs("h"), []);
+    std::fs::remove_dir_all(folder).expect("a folder");
+}
+
+#[tokio::test]
+async fn tls_is_mutual_and_its_certificate_is_replaced_while_calls_are_open() {
+    let folder = std::env::temp_dir().join(format!("mallowgauge-tls-{}", std::process::id()));
+    let (authority, clients, hosts) = (tls::Authority::new(), tls::Authority::new(), tls::Authority::new());
+    let (server, client_identity, host) = (authority.sign(false), clients.sign(false), hosts.sign(false));
+    let certificate = tls::file(&folder, "cert.pem", &server.certificate);
+    let key = tls::file(&folder, "key.pem", &server.key);
+    let told = json!({
+        "tls": {"certificate": certificate, "key": key, "client_ca": tls::file(&folder, "clients.pem", &clients.pem)},
+        "host_tls": {"ca": tls::file(&folder, "hosts.pem", &hosts.pem), "name": "localhost"},
+    });
+    let cluster = Cluster::secured(tables(), told, Some(host.server()), |_| {});
+    let dial = |root: &str, identity: Option<&tls::Identity>| {
+        let mut config =
+            ClientTlsConfig::new().ca_certificate(Certificate::from_pem(root)).domain_name("localhost");
+        if let Some(identity) = identity {
+            config = config.identity(Identity::from_pem(&identity.certificate, &identity.key));
+        }
+        let addr = format!("https://{}", cluster.program.flight);
+        Endpoint::new(addr).expect("an address").tls_config(config).expect("a config").connect_lazy()
+    };
+    let wish = command("search", "q", &[0, 1, 2]);
+    let mut client = FlightClient::new(dial(&authority.pem, Some(&client_identity)));
+    let (batches, said) = ask(&mut client, &wish).await.expect("an answer");
+    assert_eq!((by_part(&batches).len(), said), (3, json!({"total": true})));
+    let mut nameless = FlightClient::new(dial(&authority.pem, None));
+    nameless.get_flight_info(descriptor(&wish)).await.expect_err("no certificate shown");
+    // A new certificate from a new authority, by SIGHUP: the open connection goes on, new ones see the new one.
+    let second = tls::Authority::new();
+    let fresh = second.sign(false);
+    tls::file(&folder, "cert.pem", &fresh.certificate);
+    tls::file(&folder, "key.pem", &fresh.key);
+    cluster.program.signal(1);
+    assert!(cluster.log("configuration read again"));
+    ask(&mut client, &wish).await.expect("the open connection goes on");
+    let mut new = FlightClient::new(dial(&second.pem, Some(&client_identity)));
+    ask(&mut new, &wish).await.expect("the new certificate");
+    let mut old = FlightClient::new(dial(&authority.pem, Some(&client_identity)));
+    old.get_flight_info(descriptor(&wish)).await.expect_err("the old certificate is gone");
+    // One that makes no sense leaves all as it is.
+    tls::file(&folder, "key.pem", "no key");
+    cluster.program.signal(1);
+    assert!(cluster.log("configuration kept as it was: flight.tls.key"));
+    ask(&mut new, &wish).await.expect("it still serves");
+    std::fs::remove_dir_all(folder).expect("a folder");
+}
+
+#[tokio::test]
+async fn an_expired_host_certificate_is_not_trusted() {
+    let folder = std::env::temp_dir().join(format!("mallowgauge-expired-{}", std::process::id()));
+    let hosts = tls::Authority::new();
+    let told = json!({"host_tls": {"ca": tls::file(&folder, "hosts.pem", &hosts.pem), "name": "localhost"}});
+    let cluster = Cluster::secured(tables(), told, Some(hosts.sign(true).server()), |_| {});
+    let mut client = client(&cluster).await;
+    ask(&mut client, &command("search", "q", &[0])).await.expect_err("nobody to trust");
+    assert_eq!(cluster.runs("q"), []);
+    assert!(cluster.log("no TLS"));
+    std::fs::remove_dir_all(folder).expect("a folder");
+}
+
+#[tokio::test]
+async fn health_is_told_and_watched() {
+    let cluster = quiet(tables());
+    let mut raw = mallowgauge_testkit::raw::Raw::connect(cluster.program.flight);
+    let ask = |service: &str| {
+        let message = proto::HealthCheckRequest { service: service.to_owned() };
+        mallowgauge_flight::grpc::frame(&message)
+    };
+    for service in ["", "arrow.flight.protocol.FlightService"] {
+        let reply = raw.ask("/grpc.health.v1.Health/Check", &[], &ask(service));
+        let health = proto::HealthCheckResponse::decode(reply.messages[0].as_slice()).expect("health");
+        assert_eq!((reply.status(), health.status), (Some(0), 1));
+    }
+    assert_eq!(raw.ask("/grpc.health.v1.Health/Check", &[], &ask("other")).status(), Some(5));
+    let watch = raw.call("/grpc.health.v1.Health/Watch", &[], &ask(""));
+    // The first answer has to be there before the drain.
+    while raw.read().expect("a frame").kind != 0 {}
+    cluster.program.signal(15);
+    let reply = raw.reply(watch, true);
+    let last = reply.messages.last().expect("news");
+    assert_eq!(proto::HealthCheckResponse::decode(last.as_slice()).expect("health").status, 2);
+}
--- a/crates/testkit/src/flight.rs
+++ b/crates/testkit/src/flight.rs
@@ -22,7 +22,7 @@
 
 use super::{plain, Event, Query, Reply};
 
-fn run(task: impl std::future::Future + Send + 'static) {
+pub(crate) fn run(task: impl std::future::Future + Send + 'static) {
     std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let local = tokio::task::LocalSet::new();
@@ -30,7 +30,7 @@
     });
 }
 
-async fn read(mut body: RecvStream) -> Option<(Vec<Bytes>, Option<HeaderMap>)> {
+pub(crate) async fn read(mut body: RecvStream) -> Option<(Vec<Bytes>, Option<HeaderMap>)> {
     let (mut frames, mut messages) = (Deframer::new(1 << 20), Vec::new());
     while let Some(piece) = body.data().await {
         let piece = piece.ok()?;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -38,9 +38,12 @@
 //! ```
 #![allow(missing_docs)] // The language above is the documentation
 
+pub mod columns;
 pub mod flight;
 pub mod inner;
 pub mod plain;
+pub mod raw;
+pub mod tls;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -196,6 +199,58 @@
     }
 }
 
+/// A program with hosts that play a script.
+pub struct Cluster {
+    pub program: Program,
+    pub runs: columns::Runs,
+    pub roster: plain::Roster,
+    pub hosts: Vec<SocketAddr>,
+}
+
+impl Cluster {
+    /// Starts it; `flight` is what the operator's file says beside `listen` and `hosts`, and `change` has the
+    /// last word on the platform's file.
+    pub fn start(script: columns::Script, flight: Value, change: impl FnOnce(&mut Value)) -> Self {
+        Self::secured(script, flight, None, change)
+    }
+
+    /// The same with hosts that speak TLS.
+    pub fn secured(
+        script: columns::Script,
+        flight: Value,
+        tls: Option<Arc<rustls::ServerConfig>>,
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
+        let runs = columns::Runs::default();
+        let host = |i| columns::host(i, Arc::clone(&script), Arc::clone(&runs), tls.clone());
+        let hosts: Vec<SocketAddr> = (0..HOSTS).map(host).collect();
+        let roster = plain::Roster::start();
+        let mut operator = json!({"listen": "127.0.0.1:0", "hosts": "all"});
+        for (key, value) in flight.as_object().into_iter().flatten() {
+            operator[key] = value.clone();
+        }
+        let mut file = config(&hosts, roster.addr);
+        file["settings"]["Limits"]["MaxOpen"] = json!(400);
+        change(&mut file);
+        let program = Program::start(&file, &json!({"flight": operator}), 1024);
+        Self { program, runs, roster, hosts }
+    }
+
+    /// How often the parts of a query were run, by shard.
+    pub fn runs(&self, query: &str) -> Vec<(u32, u32)> {
+        let runs = self.runs.lock().expect("a sound lock");
+        runs.iter().filter(|((id, _), _)| id == query).map(|((_, shard), count)| (*shard, *count)).collect()
+    }
+
+    /// Waits until the program has written such a line.
+    pub fn log(&self, text: &str) -> bool {
+        (0..PATIENCE.as_millis() / 10).any(|_| {
+            std::thread::sleep(Duration::from_millis(10));
+            self.program.log.lock().expect("a sound lock").iter().any(|line| line.contains(text))
+        })
+    }
+}
+
 struct World {
     wire: Wire,
     program: Program,
