--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What people do here, by name.
-.PHONY: build test lint run demo
+.PHONY: build test lint run demo demo-flight bench-flight
 
 build:
 	cargo build --release --locked
@@ -18,3 +18,13 @@
 # The program with stand-in hosts and discovery on loopback; a query over HTTP and one over Flight.
 demo: build
 	cargo run --release --locked -q -p mallowgauge-testkit --bin demo
+
+# What column tables cost through the program, beside text and beside reading hosts directly; takes minutes.
+bench-flight: build
+	cargo run --release --locked -q -p mallowgauge-testkit --bin bench-flight
+
+# The Python and the Rust example against a program with stand-in hosts; wants pyarrow (pip install pyarrow).
+demo-flight: build
+	cargo build --release --locked -q -p mallowgauge-flight-example
+	cargo run --release --locked -q -p mallowgauge-testkit --bin demo -- python3 clients/python/flight_example.py grpc://ADDR
+	cargo run --release --locked -q -p mallowgauge-testkit --bin demo -- target/release/mallowgauge-flight-example http://ADDR
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -49,11 +49,13 @@
 pub const CONNECTION_WINDOW: u32 = 512 * 1024;
 /// Longest message of a client: a body of the platform's is 64 KiB, a batch of queries in columns may be more.
 const MESSAGE: usize = 256 * 1024;
-/// On its way out for one call.
-const SEND_BUFFER: usize = 16 * 1024;
+/// On its way out for one call: small where memory is, and large enough for large frames where it is not.
+const SEND_BUFFERS: std::ops::RangeInclusive<usize> = 16 * 1024..=128 * 1024;
 const STREAMS: u32 = 16;
 /// Bytes reckoned for one connection: what comes in, what goes out, and TLS.
-const CONNECTION: usize = CONNECTION_WINDOW as usize + STREAMS as usize * SEND_BUFFER + 64 * 1024;
+fn connection_bytes(send_buffer: usize) -> usize {
+    CONNECTION_WINDOW as usize + STREAMS as usize * send_buffer + 64 * 1024
+}
 const HEAD: u32 = 16 * 1024;
 /// Bytes reckoned for one remembered outcome beside its values.
 const FLIGHT: usize = 1024;
@@ -66,18 +68,20 @@
     /// streams and an eighth to what is remembered.
     #[must_use]
     pub fn of(memory: usize, descriptors: usize, streams: usize) -> Self {
-        let connections = (descriptors / 8).min(memory / 4 / CONNECTION).max(1);
+        let send_buffer = (memory / 4096).clamp(*SEND_BUFFERS.start(), *SEND_BUFFERS.end());
+        let connection = connection_bytes(send_buffer);
+        let connections = (descriptors / 8).min(memory / 4 / connection).max(1);
         let tables = memory / 2;
         let remembered = memory / 8;
-        let window = (memory / 8 / streams.max(1)).clamp(4 * 1024, 64 * 1024) as u32;
+        let window = (memory / 8 / streams.max(1)).clamp(4 * 1024, 1024 * 1024) as u32;
         Self {
             connections,
             streams: STREAMS,
             calls: connections * STREAMS as usize,
             message: MESSAGE,
             head: HEAD,
-            send_buffer: SEND_BUFFER,
-            connection: CONNECTION,
+            send_buffer,
+            connection,
             tables,
             tables_a_call: (tables / 2).max(64 * 1024),
             window,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -276,6 +276,13 @@
         self.queries.get(&out.query)?.values.iter().flatten().next()
     }
 
+    /// Whether another attempt of the same part is out.
+    pub fn has_twin(&self, id: AttemptId) -> bool {
+        let first = AttemptId { number: 0, ..id };
+        let last = AttemptId { number: u32::MAX, ..id };
+        self.attempts.range(first..=last).any(|(other, _)| *other != id)
+    }
+
     /// The memory for tables is taken, and this query has to give way: it is refused where trying again is
     /// harmless, and fails otherwise.
     pub fn overrun(&mut self, call: CallId) {
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -216,7 +216,14 @@
             match report {
                 Report::Ended(id, Outcome::Served, Some(value)) => self.served(now, id, value),
                 Report::Ended(id, outcome, value) => self.core.outcome(now, id, outcome, value),
-                Report::Overrun(call) => self.core.overrun(call),
+                // A second copy that finds no room is no loss while the first is out.
+                Report::Overrun(_, Some(id)) if self.core.has_twin(id) => {
+                    self.core.outcome(now, id, Outcome::Cancelled, None);
+                }
+                Report::Overrun(call, id) => {
+                    self.core.overrun(call);
+                    id.into_iter().for_each(|id| self.core.outcome(now, id, Outcome::Cancelled, None));
+                }
                 Report::Probed(server, passed) => self.core.probed(server, passed),
             }
         }
--- a/crates/edge/src/upstream/flight.rs
+++ b/crates/edge/src/upstream/flight.rs
@@ -254,6 +254,8 @@
             let all = window.saturating_mul(u32::try_from(self.terms.streams).unwrap_or(u32::MAX) + 1);
             let mut builder = client::Builder::new();
             builder.initial_window_size(window).initial_connection_window_size(all.min(1 << 30));
+            // Larger frames cost less; none is larger than what the window lets come.
+            builder.max_frame_size(window.clamp(16_384, 256 * 1024));
             builder.enable_push(false);
             self.state = State::Handshake(Box::pin(builder.handshake(wire)));
         }
@@ -537,6 +539,8 @@
         while let Some(message) = self.frames.take().map_err(|bad| format!("{bad:?}"))? {
             let data = FlightData::decode(message).map_err(|e| e.to_string())?;
             self.columns.as_mut().ok_or("nothing more is due")?.take(data)?;
+            // What comes next is another message, with a time of its own.
+            self.partial = None;
         }
         Ok(())
     }
@@ -552,19 +556,21 @@
                     tracing::warn!("host {}: no answer for shard {}: {why}", server.0, self.shard.0);
                     outcome = Outcome::Cut;
                 }
-                Err(None) => reports.push(Report::Overrun(self.query)),
+                Err(None) => self.overrun = true,
             }
         } else if end == End::Spoilt {
             // The stream goes on; nobody listens to it any more.
             self.request.send_reset(Reason::CANCEL);
-            if self.overrun {
-                reports.push(Report::Overrun(self.query));
-            } else {
+            if !self.overrun {
                 tracing::warn!("host {}: no answer for shard {}: {}", server.0, self.shard.0, self.why);
             }
         }
         budget.close(self.stream);
-        reports.push(Report::Ended(self.attempt, outcome, value));
+        reports.push(if self.overrun {
+            Report::Overrun(self.query, Some(self.attempt))
+        } else {
+            Report::Ended(self.attempt, outcome, value)
+        });
     }
 
     /// The part's value: of the simple form, or a table that is kept as it is. `None` for no room.
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -18,8 +18,8 @@
 pub enum Report {
     /// An attempt has ended, with its value if it was served.
     Ended(AttemptId, Outcome, Option<Value>),
-    /// The tables of a query have no room in memory.
-    Overrun(CallId),
+    /// The tables of a query have no room in memory; where it shows at an attempt, that has ended.
+    Overrun(CallId, Option<AttemptId>),
     /// A probe came back.
     Probed(ServerId, bool),
 }
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -266,7 +266,8 @@
                 }
             }
         }
-        self.reports.extend(self.terms.budget.victim().map(Report::Overrun));
+        let victim = self.terms.budget.victim();
+        self.reports.extend(victim.map(|call| Report::Overrun(call, None)));
     }
 
     /// Other TLS settings for connections from now on.
--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -1,7 +1,7 @@
 //! Lets `h2` read and write a socket of the event loop, in the clear or through TLS. No runtime: a connection
 //! polls `h2` when its socket is ready, and again for as long as `h2` asks for that.
 
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -208,6 +208,26 @@
         })
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        pieces: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        if self.tls.is_some() {
+            let first = pieces.iter().find(|piece| !piece.is_empty()).map_or(&[][..], |piece| piece);
+            return self.poll_write(cx, first);
+        }
+        match self.socket.stream.write_vectored(pieces) {
+            Ok(0) if pieces.iter().any(|piece| !piece.is_empty()) => Poll::Pending,
+            done => Poll::Ready(done),
+        }
+    }
+
+    /// In the clear a frame's head and its payload go out in one call.
+    fn is_write_vectored(&self) -> bool {
+        self.tls.is_none()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         let Self { socket, tls } = &mut *self;
         match tls.as_mut().map_or(Ok(true), |session| session.flush(socket)) {
--- a/crates/mallowgauge/tests/promises.rs
+++ b/crates/mallowgauge/tests/promises.rs
@@ -166,6 +166,22 @@
     assert_eq!(listed, written);
 }
 
+// Guards the catalogue of what is conformed to: the tests that it names are there.
+#[test]
+fn the_catalogue_of_flight_names_tests_that_exist() {
+    let name = Regex::new(r"\| `([a-z0-9_]+)`[^|`]*(?:`gatherer.rs` )?\| kept").expect("a pattern");
+    let sources = ["flight.rs", "flight_hard.rs", "gatherer.rs"]
+        .map(|f| text(&format!("crates/mallowgauge/tests/{f}")));
+    let page = text("docs/flight-conformance.md");
+    let named: BTreeSet<&str> =
+        name.captures_iter(&page).map(|found| found.get(1).expect("a name").as_str()).collect();
+    assert!(named.len() > 20, "{named:?}");
+    for test in named {
+        assert!(sources.iter().any(|source| source.contains(&format!("fn {test}("))), "{test}");
+    }
+    assert_eq!(page.matches("| kept").count(), name.captures_iter(&page).count(), "a row that names no test");
+}
+
 // Guards the start: a configuration that makes no sense ends it with one line.
 #[test]
 fn a_bad_configuration_is_one_clear_line() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,7 +4,7 @@
 //! ([`Owner::ready`]). Nothing here knows what the token stands for.
 
 use std::cell::Cell;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::rc::Rc;
@@ -258,6 +258,27 @@
         let _ = self.socket.shutdown(std::net::Shutdown::Write);
     }
 
+    /// Writes pieces that lie apart in one call, as far as the socket takes them now.
+    ///
+    /// # Errors
+    /// The connection is broken.
+    pub fn write_vectored(&self, pieces: &[IoSlice<'_>]) -> io::Result<usize> {
+        loop {
+            match (&*self.socket).write_vectored(pieces) {
+                Ok(0) if pieces.iter().any(|piece| !piece.is_empty()) => {
+                    return Err(ErrorKind::WriteZero.into())
+                }
+                Ok(n) => return Ok(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(0),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => {
+                    self.broken.set(true);
+                    return Err(e);
+                }
+            }
+        }
+    }
+
     /// Writes what the socket takes now and says how much that was.
     ///
     /// # Errors
--- a/crates/testkit/src/columns.rs
+++ b/crates/testkit/src/columns.rs
@@ -67,6 +67,7 @@
     run(async move {
         let listener = TcpListener::from_std(socket).expect("a listener");
         while let Ok((socket, _)) = listener.accept().await {
+            socket.set_nodelay(true).expect("a socket");
             let (script, runs, tls) = (Arc::clone(&script), Arc::clone(&runs), tls.clone());
             tokio::task::spawn_local(async move {
                 match tls {
--- a/crates/testkit/src/demo.rs
+++ b/crates/testkit/src/demo.rs
@@ -2,8 +2,10 @@
 //! HTTP and one over Flight, and prints what each side saw.
 
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
 use std::time::Duration;
 
+use mallowgauge_testkit::{columns, Cluster};
 use mallowgauge_testkit::{config, flight, plain, Event, Program, Query, Reply, HOSTS};
 use serde_json::json;
 
@@ -21,7 +23,26 @@
     }
 }
 
+/// Hosts with tables of listings, and a program of the caller's that is told where to ask: `ADDR` in its words
+/// stands for the address.
+fn run(words: &[String]) {
+    let script: columns::Script = Arc::new(|_, ticket, _| {
+        let shard = ticket["range"].as_u64().unwrap_or_default() as u32;
+        columns::Act::Table(vec![columns::listings(shard, 100)], columns::Dress::default())
+    });
+    let cluster = Cluster::start(script, json!({}), |_| {});
+    let addr = cluster.program.flight.to_string();
+    println!("Flight on {addr}; {HOSTS} stand-in hosts answer with tables of listings");
+    let words: Vec<String> = words.iter().map(|word| word.replace("ADDR", &addr)).collect();
+    let status = std::process::Command::new(&words[0]).args(&words[1..]).status().expect("a program");
+    assert!(status.success(), "{words:?}: {status}");
+}
+
 fn main() {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    if !words.is_empty() {
+        return run(&words);
+    }
     let (sender, events) = channel();
     let frames: Vec<_> = (0..HOSTS - 1).map(|i| plain::host(i, sender.clone(), false)).collect();
     // The last host offers Flight, the others speak the platform's frames.
--- a/crates/testkit/src/flight.rs
+++ b/crates/testkit/src/flight.rs
@@ -49,6 +49,7 @@
     run(async move {
         let listener = TcpListener::from_std(socket).expect("a listener");
         while let Ok((socket, _)) = listener.accept().await {
+            socket.set_nodelay(true).expect("a socket");
             let events = events.clone();
             if let Some(last) = away.lock().expect("a sound lock").take() {
                 tokio::task::spawn_local(go_away(number, socket, events, last));
