--- a/crates/edge/src/front/flight/methods.rs
+++ b/crates/edge/src/front/flight/methods.rs
@@ -206,16 +206,7 @@
                     Err(status) => self.fail(now, &status),
                 },
                 Wanted::Poll(key, command) => match outcome {
-                    Ok(_) => {
-                        let standing = office.flights.look(now, &key);
-                        match office.poll_info(now, &key.user, standing, &command, core) {
-                            Ok(info) => {
-                                self.message(now, &info);
-                                self.end(&Status::new(Code::Ok, ""));
-                            }
-                            Err(status) => self.fail(now, &status),
-                        }
-                    }
+                    Ok(_) => self.stands(now, &key, &command, office, core),
                     Err(status) => self.fail(now, &status),
                 },
             },
@@ -476,10 +467,7 @@
             Submitted::Waiting(caller) if first => {
                 // The first call is answered at once, so that the client knows what to poll with.
                 office.leave(caller, core);
-                let standing = office.flights.look(now, &key);
-                let info = office.poll_info(now, &key.user, standing, &command, core)?;
-                self.message(now, &info);
-                self.end(&Status::new(Code::Ok, ""));
+                self.stands(now, &key, &command, office, core);
             }
             Submitted::Waiting(caller) => {
                 let wait = self.left(now).map_or(POLL, |left| (left / 2).min(POLL));
@@ -489,10 +477,7 @@
             }
             Submitted::Over(outcome) => {
                 outcome?;
-                let standing = office.flights.look(now, &key);
-                let info = office.poll_info(now, &key.user, standing, &command, core)?;
-                self.message(now, &info);
-                self.end(&Status::new(Code::Ok, ""));
+                self.stands(now, &key, &command, office, core);
             }
         }
         Ok(())
@@ -507,8 +492,13 @@
         let caller = waiting.caller.take();
         let Wanted::Poll(key, command) = std::mem::replace(&mut waiting.form, Wanted::Table) else { return };
         caller.into_iter().for_each(|caller| office.leave(caller, core));
-        let standing = office.flights.look(now, &key);
-        match office.poll_info(now, &key.user, standing, &command, core) {
+        self.stands(now, &key, &command, office, core);
+    }
+
+    /// Says how a polled query stands, and ends the call.
+    fn stands(&mut self, now: Micros, key: &Key, command: &Command, office: &mut Office, core: &Core) {
+        let standing = office.flights.look(now, key);
+        match office.poll_info(now, &key.user, standing, command, core) {
             Ok(info) => {
                 self.message(now, &info);
                 self.end(&Status::new(Code::Ok, ""));
--- a/crates/mallowgauge/tests/flight.rs
+++ b/crates/mallowgauge/tests/flight.rs
@@ -804,9 +804,11 @@
     let key = tls::file(&folder, "key.pem", &server.key);
     let told = json!({
         "tls": {"certificate": certificate, "key": key, "client_ca": tls::file(&folder, "clients.pem", &clients.pem)},
-        "host_tls": {"ca": tls::file(&folder, "hosts.pem", &hosts.pem), "name": "localhost"},
+        "host_tls": {"ca": tls::file(&folder, "hosts.pem", &hosts.pem), "name": "localhost",
+            "certificate": tls::file(&folder, "us.pem", &client_identity.certificate),
+            "key": tls::file(&folder, "us.key", &client_identity.key)},
     });
-    let cluster = Cluster::secured(tables(), told, Some(host.server()), |_| {});
+    let cluster = Cluster::secured(tables(), told, Some(host.server(Some(&clients.pem))), |_| {});
     let dial = |root: &str, identity: Option<&tls::Identity>| {
         let mut config =
             ClientTlsConfig::new().ca_certificate(Certificate::from_pem(root)).domain_name("localhost");
@@ -842,12 +844,39 @@
     std::fs::remove_dir_all(folder).expect("a folder");
 }
 
+#[tokio::test]
+async fn texts_are_compressed_as_the_session_wishes() {
+    let script: Script = Arc::new(|_, ticket, _| {
+        let shard = ticket["range"].as_u64().expect("a shard") as u32;
+        mallowgauge_testkit::columns::text(shard, "good", &"wheat ".repeat(500))
+    });
+    let cluster = quiet(script);
+    let mut client = client(&cluster).await;
+    let mut sizes = Vec::new();
+    for codec in ["none", "lz4", "zstd"] {
+        set_options(&mut client, &[("compression", OptionValue::Text(codec.to_owned()))]).await;
+        let wish = command("search", &format!("q-{codec}"), &[0, 1]);
+        let (batches, said) = ask(&mut client, &wish).await.expect("an answer");
+        assert_eq!(said, json!({"total": true}));
+        assert_eq!(by_part(&batches), BTreeMap::from([(0, 1), (1, 1)]));
+        let blob = batches[0].column_by_name("blob").expect("blobs").as_string::<i32>().value(0);
+        assert_eq!(blob.len(), 3000);
+        let info = client.get_flight_info(descriptor(&wish)).await.expect("info");
+        let mut request = tonic::Request::new(ticket(&info));
+        *request.metadata_mut() = client.metadata().clone();
+        let stream = client.inner_mut().do_get(request).await.expect("a stream").into_inner();
+        let messages: Vec<FlightData> = stream.try_collect().await.expect("messages");
+        sizes.push(messages.iter().map(|data| data.data_body.len()).sum::<usize>());
+    }
+    assert!(sizes[1] < sizes[0] / 4 && sizes[2] < sizes[0] / 4, "{sizes:?}");
+}
+
 #[tokio::test]
 async fn an_expired_host_certificate_is_not_trusted() {
     let folder = std::env::temp_dir().join(format!("mallowgauge-expired-{}", std::process::id()));
     let hosts = tls::Authority::new();
     let told = json!({"host_tls": {"ca": tls::file(&folder, "hosts.pem", &hosts.pem), "name": "localhost"}});
-    let cluster = Cluster::secured(tables(), told, Some(hosts.sign(true).server()), |_| {});
+    let cluster = Cluster::secured(tables(), told, Some(hosts.sign(true).server(None)), |_| {});
     let mut client = client(&cluster).await;
     ask(&mut client, &command("search", "q", &[0])).await.expect_err("nobody to trust");
     assert_eq!(cluster.runs("q"), []);
--- a/crates/testkit/src/bench_phases.rs
+++ b/crates/testkit/src/bench_phases.rs
@@ -52,6 +52,9 @@
     Value::from((0..10).map(row).collect::<Vec<_>>()).to_string()
 }
 
+/// A day: its name, queries a second, a host that is slower by a factor, one that hangs.
+type Day = (&'static str, f64, Option<(usize, u64)>, Option<usize>);
+
 /// The state of the world that hosts ask: skew, which host is slow and how, and the work that was asked.
 #[derive(Default)]
 struct World {
@@ -220,7 +223,7 @@
     );
     println!("| day | skew | side | service | host ms a query | p50 ms | p99 ms | queries |");
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
-    let days: [(&str, f64, Option<(usize, u64)>, Option<usize>); 4] = [
+    let days: [Day; 4] = [
         ("calm", 8.0, None, None),
         ("slow host", 8.0, Some((1, 6)), None),
         ("hang", 8.0, None, Some(1)),
--- a/crates/testkit/src/columns.rs
+++ b/crates/testkit/src/columns.rs
@@ -19,9 +19,8 @@
 use mallowgauge_flight::proto::{FlightData, Ticket};
 use prost::Message;
 use serde_json::Value;
-use tokio::net::TcpListener;
 
-use crate::flight::{read, run};
+use crate::flight::{listen, read};
 
 /// What a host does about a part.
 #[derive(Clone)]
@@ -63,28 +62,19 @@
 
 /// A host that plays a script; `tls` is its certificate and key where it has one.
 pub fn host(number: usize, script: Script, runs: Runs, tls: Option<Arc<rustls::ServerConfig>>) -> SocketAddr {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let addr = socket.local_addr().expect("an address");
-    socket.set_nonblocking(true).expect("a socket");
-    run(async move {
-        let listener = TcpListener::from_std(socket).expect("a listener");
-        while let Ok((socket, _)) = listener.accept().await {
-            socket.set_nodelay(true).expect("a socket");
-            let (script, runs, tls) = (Arc::clone(&script), Arc::clone(&runs), tls.clone());
-            tokio::task::spawn_local(async move {
-                match tls {
-                    None => serve(number, socket, script, runs).await,
-                    Some(tls) => {
-                        let session = tokio_rustls::TlsAcceptor::from(tls).accept(socket).await;
-                        if let Ok(session) = session {
-                            serve(number, session, script, runs).await;
-                        }
+    listen(move |socket| {
+        let (script, runs, tls) = (Arc::clone(&script), Arc::clone(&runs), tls.clone());
+        tokio::task::spawn_local(async move {
+            match tls {
+                None => serve(number, socket, script, runs).await,
+                Some(tls) => {
+                    if let Ok(session) = tokio_rustls::TlsAcceptor::from(tls).accept(socket).await {
+                        serve(number, session, script, runs).await;
                     }
                 }
-            });
-        }
-    });
-    addr
+            }
+        });
+    })
 }
 
 async fn serve<S>(number: usize, socket: S, script: Script, runs: Runs)
@@ -274,24 +264,17 @@
 
 /// A host that works on so many parts at a time; the others wait, and one that is reset meanwhile is dropped.
 pub fn working(at_a_time: usize, costs: Costs) -> SocketAddr {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let addr = socket.local_addr().expect("an address");
-    socket.set_nonblocking(true).expect("a socket");
-    run(async move {
-        let listener = TcpListener::from_std(socket).expect("a listener");
-        let places = Arc::new(tokio::sync::Semaphore::new(at_a_time));
-        while let Ok((socket, _)) = listener.accept().await {
-            let (places, costs) = (Arc::clone(&places), Arc::clone(&costs));
-            tokio::task::spawn_local(async move {
-                let Ok(mut connection) = h2::server::handshake(socket).await else { return };
-                while let Some(Ok((request, respond))) = connection.accept().await {
-                    let (places, costs) = (Arc::clone(&places), Arc::clone(&costs));
-                    tokio::task::spawn_local(async move { work(request, respond, &places, &costs).await });
-                }
-            });
-        }
-    });
-    addr
+    let places = Arc::new(tokio::sync::Semaphore::new(at_a_time));
+    listen(move |socket| {
+        let (places, costs) = (Arc::clone(&places), Arc::clone(&costs));
+        tokio::task::spawn_local(async move {
+            let Ok(mut connection) = h2::server::handshake(socket).await else { return };
+            while let Some(Ok((request, respond))) = connection.accept().await {
+                let (places, costs) = (Arc::clone(&places), Arc::clone(&costs));
+                tokio::task::spawn_local(async move { work(request, respond, &places, &costs).await });
+            }
+        });
+    })
 }
 
 async fn work(
--- a/crates/testkit/src/flight.rs
+++ b/crates/testkit/src/flight.rs
@@ -43,6 +43,24 @@
 
 /// A host that offers Flight.
 pub fn host(number: usize, events: Sender<Event>, away: Arc<Mutex<Option<u32>>>) -> SocketAddr {
+    listen(move |socket| {
+        let events = events.clone();
+        if let Some(last) = away.lock().expect("a sound lock").take() {
+            tokio::task::spawn_local(go_away(number, socket, events, last));
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            let mut connection = h2::server::handshake(socket).await.ok()?;
+            while let Some(Ok((request, respond))) = connection.accept().await {
+                tokio::task::spawn_local(do_get(number, request, respond, events.clone()));
+            }
+            events.send(Event::Closed).ok()
+        });
+    })
+}
+
+/// Listens on a free port, in a thread of its own that runs what `accept` spawns for each connection.
+pub(crate) fn listen(accept: impl Fn(TcpStream) + Send + 'static) -> SocketAddr {
     let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = socket.local_addr().expect("an address");
     socket.set_nonblocking(true).expect("a socket");
@@ -50,18 +68,7 @@
         let listener = TcpListener::from_std(socket).expect("a listener");
         while let Ok((socket, _)) = listener.accept().await {
             socket.set_nodelay(true).expect("a socket");
-            let events = events.clone();
-            if let Some(last) = away.lock().expect("a sound lock").take() {
-                tokio::task::spawn_local(go_away(number, socket, events, last));
-                continue;
-            }
-            tokio::task::spawn_local(async move {
-                let mut connection = h2::server::handshake(socket).await.ok()?;
-                while let Some(Ok((request, respond))) = connection.accept().await {
-                    tokio::task::spawn_local(do_get(number, request, respond, events.clone()));
-                }
-                events.send(Event::Closed).ok()
-            });
+            accept(socket);
         }
     });
     addr
--- a/crates/testkit/src/plain.rs
+++ b/crates/testkit/src/plain.rs
@@ -35,15 +35,20 @@
     addr
 }
 
+/// The next frame: its letter and the rest.
+fn read_frame(socket: &mut TcpStream) -> Option<(u8, String)> {
+    let mut head = [0; 5];
+    socket.read_exact(&mut head).ok()?;
+    let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    let mut rest = vec![0; length - 1];
+    socket.read_exact(&mut rest).ok()?;
+    Some((head[4], String::from_utf8(rest).expect("text")))
+}
+
 fn serve(number: usize, mut socket: TcpStream, events: &Sender<Event>, probes: bool) -> Option<()> {
     loop {
-        let mut head = [0; 5];
-        socket.read_exact(&mut head).ok()?;
-        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
-        let mut rest = vec![0; length - 1];
-        socket.read_exact(&mut rest).ok()?;
-        let text = String::from_utf8(rest).expect("text");
-        match head[4] {
+        let (letter, text) = read_frame(&mut socket)?;
+        match letter {
             b'm' => call(number, &text, &socket, events),
             b'n' => {
                 let shard = text.rsplit('.').next().and_then(|s| s.parse().ok());
@@ -222,16 +227,11 @@
     runs: &crate::columns::Runs,
 ) -> Option<()> {
     loop {
-        let mut head = [0; 5];
-        socket.read_exact(&mut head).ok()?;
-        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
-        let mut rest = vec![0; length - 1];
-        socket.read_exact(&mut rest).ok()?;
-        let text = String::from_utf8(rest).ok()?;
-        if head[4] == b'o' {
+        let (letter, text) = read_frame(&mut socket)?;
+        if letter == b'o' {
             socket.write_all(&frame(b'o', "good")).ok()?;
         }
-        let mut text = if head[4] == b'm' { text.as_str() } else { "" };
+        let mut text = if letter == b'm' { text.as_str() } else { "" };
         while let Some((line, rest)) = text.split_once('\n') {
             let words: Vec<&str> = line.split(' ').collect();
             let (id, shard) = (words[0], words[1].parse::<u32>().ok()?);
--- a/crates/testkit/src/tls.rs
+++ b/crates/testkit/src/tls.rs
@@ -53,14 +53,25 @@
 }
 
 impl Identity {
-    /// The certificate as a server's settings.
-    pub fn server(&self) -> Arc<rustls::ServerConfig> {
+    /// The certificate as a server's settings; with roots, clients have to show a certificate from there.
+    pub fn server(&self, clients: Option<&str>) -> Arc<rustls::ServerConfig> {
         let chain = vec![CertificateDer::from_pem_slice(self.certificate.as_bytes()).expect("a certificate")];
         let key = PrivateKeyDer::from_pem_slice(self.key.as_bytes()).expect("a key");
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let builder = rustls::ServerConfig::builder_with_provider(provider);
         let builder = builder.with_safe_default_protocol_versions().expect("versions");
-        let mut config = builder.with_no_client_auth().with_single_cert(chain, key).expect("a pair");
+        let builder = match clients {
+            None => builder.with_no_client_auth(),
+            Some(pem) => {
+                let mut roots = rustls::RootCertStore::empty();
+                roots.add(CertificateDer::from_pem_slice(pem.as_bytes()).expect("a root")).expect("a root");
+                let provider = Arc::new(rustls::crypto::ring::default_provider());
+                let verifier =
+                    rustls::server::WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider);
+                builder.with_client_cert_verifier(verifier.build().expect("a verifier"))
+            }
+        };
+        let mut config = builder.with_single_cert(chain, key).expect("a pair");
         config.alpn_protocols = vec![b"h2".to_vec()];
         Arc::new(config)
     }
