--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -37,6 +37,9 @@
     }
 }
 
+/// Read from a socket at a time.
+const READ: usize = 64 * 1024;
+
 /// A socket as `h2` sees it.
 pub struct Wire {
     socket: Socket,
@@ -190,7 +193,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let Self { socket, tls } = &mut *self;
-        let room = buffer.initialize_unfilled();
+        // Room is made ready by being zeroed; more than a socket gives at once would be zeroed in vain.
+        let room = buffer.initialize_unfilled_to(buffer.remaining().min(READ));
         let read = match tls {
             None => socket.read(room),
             Some(session) => session.read(socket, room),
--- a/crates/mallowgauge/tests/flight_hard.rs
+++ b/crates/mallowgauge/tests/flight_hard.rs
@@ -80,6 +80,16 @@
             data.data_header = header.into();
             vec![good[0].clone(), good[1].clone(), whole(data)]
         }
+        "a terabyte" => {
+            // A compressed column that says it inflates to a terabyte.
+            let dress = Dress { body: Some(arrow_ipc::CompressionType::LZ4_FRAME), gzip: false };
+            let good = messages_of(&[numbers(64 << 10)], dress);
+            let mut data = FlightData::decode(good[1].slice(5..)).expect("FlightData");
+            let mut body = data.data_body.to_vec();
+            body[..8].copy_from_slice(&(1_i64 << 40).to_le_bytes());
+            data.data_body = body.into();
+            vec![good[0].clone(), whole(data)]
+        }
         "three gigabytes" => vec![good[0].clone(), Bytes::from_static(&[0, 0xb2, 0xd0, 0x5e, 0, 1, 2, 3])],
         "nothing" => vec![whole(FlightData::default())],
         "half a message" => vec![good[0].clone(), good[1].slice(..good[1].len() / 2)],
@@ -97,6 +107,7 @@
         "two schemas",
         "garbled header",
         "three gigabytes",
+        "a terabyte",
         "nothing",
         "half a message",
     ] {
--- a/crates/mallowgauge/tests/phases.rs
+++ b/crates/mallowgauge/tests/phases.rs
@@ -89,6 +89,33 @@
         Self { program: Program::start(&file, &operator, 1024), seen, flight, _roster: roster }
     }
 
+    /// A client of this program.
+    fn client(&self) -> Client {
+        Client { http: self.program.http, flight_at: self.program.flight, flight: self.flight }
+    }
+
+    fn ask(&self, kind: &str, id: &str, shards: &[u32], plan: &Value, ms: u64) -> Value {
+        self.client().ask(kind, id, shards, plan, ms)
+    }
+
+    /// How often scouts and blocks were asked for a query.
+    fn asked(&self, id: &str) -> (u32, u32) {
+        let seen = self.seen.lock().expect("a sound lock");
+        let count =
+            |scout: bool| seen.iter().filter(|((q, _, s), _)| q == id && *s == scout).map(|(_, n)| n).sum();
+        (count(true), count(false))
+    }
+}
+
+/// A client on one of the wires.
+#[derive(Clone, Copy)]
+struct Client {
+    http: SocketAddr,
+    flight_at: SocketAddr,
+    flight: bool,
+}
+
+impl Client {
     /// Asks, and tells the answer in the same words on both wires.
     fn ask(&self, kind: &str, id: &str, shards: &[u32], plan: &Value, ms: u64) -> Value {
         let share = 1.0 / shards.len() as f64;
@@ -96,7 +123,7 @@
         let mut body = json!({"ranges": ranges, "predicate": "c41e77d0", "plan": plan});
         if !self.flight {
             let query = mallowgauge_testkit::Query { id: id.to_owned(), kind: kind.to_owned(), ms, body };
-            let socket = TcpStream::connect(self.program.http).expect("a connection");
+            let socket = TcpStream::connect(self.http).expect("a connection");
             let (status, _, body) = plain::exchange(&socket, &plain::request(&query)).expect("an answer");
             let mut body: Value = serde_json::from_str(&body).expect("JSON");
             if status != 200 {
@@ -109,7 +136,7 @@
         }
         body["id"] = json!(id);
         body["kind"] = json!(kind);
-        let mut raw = Raw::connect(self.program.flight);
+        let mut raw = Raw::connect(self.flight_at);
         let descriptor = FlightDescriptor::command(body.to_string().into());
         let reply = raw.ask("GetFlightInfo", &[], &frame(&descriptor));
         let told = |status: Option<u32>| json!({"status": match status { Some(8 | 14) => "refused", Some(13) => "failed", Some(4) => "time up", Some(3) => "invalid", _ => "odd" }});
@@ -135,14 +162,6 @@
         marks["rows"] = rows.into_iter().map(|mut row| row["id"].take()).collect();
         marks
     }
-
-    /// How often scouts and blocks were asked for a query.
-    fn asked(&self, id: &str) -> (u32, u32) {
-        let seen = self.seen.lock().expect("a sound lock");
-        let count =
-            |scout: bool| seen.iter().filter(|((q, _, s), _)| q == id && *s == scout).map(|(_, n)| n).sum();
-        (count(true), count(false))
-    }
 }
 
 /// Plays the same on both wires, which have to tell the same.
@@ -375,3 +394,57 @@
     assert!(told.iter().any(|(host, scout)| *host == 1 && *scout), "{told:?}");
     assert!(!told.iter().any(|(host, scout)| *host == 1 && !*scout), "{told:?}");
 }
+
+#[test]
+fn a_hold_asked_again_while_its_second_phase_runs_is_one_hold() {
+    let slow: Says = Arc::new(|shard, scout, before| match scout {
+        true => honest()(shard, scout, before),
+        false => {
+            std::thread::sleep(Duration::from_millis(200));
+            Some(("good".to_owned(), "held".to_owned()))
+        }
+    });
+    let world = World::start(true, &slow, json!({"sketches": 0}), |_| {});
+    let plan = json!({"choose": {"best": 2}, "top": 1});
+    let told: Vec<Value> = std::thread::scope(|scope| {
+        let (client, plan) = (world.client(), plan.clone());
+        let ask = move || client.ask("place-hold", "h", &[7, 8, 9], &plan, 3000);
+        let first = scope.spawn(ask.clone());
+        while world.asked("h").1 == 0 {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        // Two more ask under the same id, one while it runs and one behind it.
+        let second = scope.spawn(ask.clone());
+        let both = vec![first.join().expect("a client"), second.join().expect("a client")];
+        [both, vec![ask()]].concat()
+    });
+    assert_eq!(told[0]["held"], json!({"range": 9, "blob": "held"}));
+    assert!(told.iter().all(|one| *one == told[0]), "{told:?}");
+    assert_eq!(world.asked("h"), (3, 1));
+}
+
+#[test]
+fn a_cancelled_search_asks_no_further_wave() {
+    let slow: Says = Arc::new(|shard, scout, before| match scout {
+        true => honest()(shard, scout, before),
+        false => None,
+    });
+    let world = World::start(true, &slow, json!({"sketches": 0}), |_| {});
+    let mut raw = Raw::connect(world.program.flight);
+    let body = json!({"tag": "t", "kind": "search", "id": "c", "ranges": SHARDS, "predicate": "x", "plan": {"wave": 1}});
+    let say = |value: &Value| {
+        frame(&FlightData { app_metadata: value.to_string().into(), ..FlightData::default() })
+    };
+    let stream = raw.open("DoExchange", &[], false);
+    raw.data(stream, &say(&body), false);
+    while world.asked("c").1 == 0 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    raw.data(stream, &say(&json!({"cancel": "t"})), true);
+    let reply = raw.reply(stream, true);
+    let said = FlightData::decode(reply.messages[0].as_slice()).expect("FlightData").app_metadata;
+    let said: Value = serde_json::from_slice(&said).expect("JSON");
+    assert_eq!((&said["status"], reply.messages.len()), (&json!("cancelled"), 1));
+    // One block, and perhaps a second copy of it.
+    assert!(world.asked("c").1 <= 2, "{:?}", world.asked("c"));
+}
--- a/crates/testkit/src/bench_phases.rs
+++ b/crates/testkit/src/bench_phases.rs
@@ -61,9 +61,16 @@
     skew: f64,
     slow: Option<(usize, u64)>,
     hangs: Option<usize>,
+    /// A host that has just started: a sixth of its capacity at first, all of it after so long.
+    cold: Option<(usize, Instant)>,
+    /// A block whose scouts nobody answers.
+    mute: Option<u32>,
     asked_ms: u64,
 }
 
+/// How long a host takes to be warm.
+const WARM: Duration = Duration::from_secs(3);
+
 struct Side {
     name: &'static str,
     plan: Option<Value>,
@@ -129,10 +136,17 @@
 }
 
 /// Plays the sides in turns, each segment with the same arrivals.
-fn play(world: &Arc<Mutex<World>>, programs: &[Program], sides: &mut [Side], rate: f64, seed: u64) {
+fn play(
+    world: &Arc<Mutex<World>>,
+    programs: &[Program],
+    sides: &mut [Side],
+    (rate, seed): (f64, u64),
+    starts: impl Fn(),
+) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     for segment in 0..SEGMENTS as u64 {
         for side in sides.iter_mut() {
+            starts();
             let before = world.lock().expect("a sound lock").asked_ms;
             let addr = programs[side.program].flight;
             let ends = Rc::new(RefCell::new(Vec::new()));
@@ -198,19 +212,27 @@
                 let predicate: u64 = scout.unwrap_or(said).parse().expect("a number");
                 let mut world = world.lock().expect("a sound lock");
                 let cost = if scout.is_some() { SCOUT_MS } else { BLOCK_MS };
-                let times = world.slow.filter(|(host, _)| *host == i).map_or(1, |(_, times)| times);
+                let times = world.slow.filter(|(host, _)| *host == i).map_or(1.0, |(_, times)| times as f64);
+                let cold = world.cold.filter(|(host, _)| *host == i).map_or(1.0, |(_, since)| {
+                    let warmth = (since.elapsed().as_secs_f64() / WARM.as_secs_f64()).min(1.0);
+                    1.0 / (0.16 + 0.84 * warmth)
+                });
                 world.asked_ms += cost;
                 let answer = match scout {
                     Some(_) => json!({"bound": best(world.skew, predicate, block), "count": 10}).to_string(),
                     None => rows(world.skew, predicate, block),
                 };
-                let hangs = world.hangs == Some(i);
-                Work { cost: Duration::from_millis(cost * times), hangs, act: text(block, "good", &answer) }
+                let hangs = world.hangs == Some(i) || (scout.is_some() && world.mute == Some(block));
+                Work {
+                    cost: Duration::from_secs_f64(cost as f64 / 1000.0 * times * cold),
+                    hangs,
+                    act: text(block, "good", &answer),
+                }
             };
             working(2, Arc::new(work))
         })
         .collect();
-    let (one, _first) = start(&hosts, json!("learned"));
+    let (one, first) = start(&hosts, json!("learned"));
     let (half, _second) = start(&hosts, json!("half"));
     let (fixed, _third) = start(&hosts, json!({"share": 0.2}));
     let programs = [one, half, fixed];
@@ -230,6 +252,28 @@
         ("overload", 32.0, None, None),
     ];
     let mut seed = 1_000_000;
+    if std::env::args().nth(1).as_deref() == Some("rules") {
+        return rules(&world, &programs, plan, seed);
+    }
+    for (skew_name, skew) in [("none", 0.0), ("some", 0.2), ("heavy", 0.5)] {
+        world.lock().expect("a sound lock").skew = skew;
+        let mut sides = [side("single", None, 0), side("two-phase", plan(), 0)];
+        // At the begin of each segment a successor of host 1 starts, and discovery tells so.
+        let starts = || {
+            let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a date");
+            let mut instance = plain::instance(1, hosts[1], "active");
+            instance["startedAtMs"] = json!(now.as_millis() as u64);
+            first.tell(&instance);
+            world.lock().expect("a sound lock").cold = Some((1, Instant::now()));
+        };
+        play(&world, &programs, &mut sides, (8.0, seed), starts);
+        print("cold successor", skew_name, &sides);
+        seed += 1_000_000;
+    }
+    world.lock().expect("a sound lock").cold = None;
+    if std::env::args().nth(1).as_deref() == Some("cold") {
+        return;
+    }
     for (skew_name, skew) in [("none", 0.0), ("some", 0.2), ("heavy", 0.5)] {
         for (day, rate, slow, hangs) in days {
             {
@@ -237,21 +281,30 @@
                 (world.skew, world.slow, world.hangs) = (skew, slow, hangs);
             }
             let mut sides = [side("single", None, 0), side("two-phase", plan(), 0)];
-            play(&world, &programs, &mut sides, rate, seed);
+            play(&world, &programs, &mut sides, (rate, seed), || {});
             print(day, skew_name, &sides);
             seed += 1_000_000;
         }
     }
-    println!(
-        "\nthe rule for the scouts' time, heavy skew, one host six times slower and one more hanging:\n"
-    );
+    rules(&world, &programs, plan, seed);
+}
+
+/// The rule for the scouts' time beside two simpler ones.
+fn rules(world: &Arc<Mutex<World>>, programs: &[Program], plan: impl Fn() -> Option<Value>, mut seed: u64) {
+    println!("\nthe rule for the scouts' time, heavy skew:\n");
     println!("| day | skew | side | service | host ms a query | p50 ms | p99 ms | queries |");
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
-    {
-        let mut world = world.lock().expect("a sound lock");
-        (world.skew, world.slow, world.hangs) = (0.5, Some((2, 6)), Some(1));
+    for (day, slow, hangs, mute) in [
+        ("one host slow, one hangs", Some((2, 6)), Some(1), None),
+        ("one block's scouts silent", None, None, Some(5)),
+    ] {
+        {
+            let mut world = world.lock().expect("a sound lock");
+            (world.skew, world.slow, world.hangs, world.mute) = (0.5, slow, hangs, mute);
+        }
+        let mut sides = [side("learned", plan(), 0), side("half", plan(), 1), side("a fifth", plan(), 2)];
+        play(world, programs, &mut sides, (8.0, seed), || {});
+        print(day, "heavy", &sides);
+        seed += 1_000_000;
     }
-    let mut sides = [side("learned", plan(), 0), side("half", plan(), 1), side("a fifth", plan(), 2)];
-    play(&world, &programs, &mut sides, 8.0, seed);
-    print("slow and hang", "heavy", &sides);
 }
