Learn the scouts' time from those that spoke, not from budgets that ended

Change: what is recorded is when the last scout spoke. A test of overload holds that planned queries are refused before any part and keep their later parts.

--- a/crates/core/src/phases/mod.rs
+++ b/crates/core/src/phases/mod.rs
@@ -201,6 +201,8 @@
     touched: bool,
     held: Option<(ShardId, Rc<str>)>,
     began: Micros,
+    /// When the last scout spoke.
+    spoke: Option<Micros>,
     wave_began: Micros,
     /// Phases that have ended, for the clock: scouts, waves.
     times: (Option<Micros>, Vec<Micros>),
@@ -241,6 +243,7 @@
             touched: false,
             held: None,
             began: now,
+            spoke: None,
             wave_began: now,
             times: (None, Vec::new()),
         };
@@ -288,9 +291,10 @@
             // Its budget was up before, and its block was dealt with by rule.
             return wants;
         }
+        self.spoke = if said.is_ok() { Some(now) } else { self.spoke };
         self.blocks[block].seen = said.map_or(Seen::Silent, |sketch| Seen::Said(sketch, true));
         if self.blocks.iter().all(|block| block.seen != Seen::Out) {
-            self.times.0 = Some(now.saturating_sub(self.began));
+            self.times.0 = self.scouting_took();
             self.choose(now, &mut wants);
         }
         wants
@@ -341,7 +345,7 @@
                 (0..self.blocks.len()).filter(|&i| self.blocks[i].seen == Seen::Out).collect();
             late.iter().for_each(|&i| self.blocks[i].seen = Seen::Silent);
             wants.push(Want::DropScouts(late));
-            self.times.0 = Some(now.saturating_sub(self.began));
+            self.times.0 = self.scouting_took();
             self.choose(now, &mut wants);
         }
         let due = now >= before(self.end) || (now >= before(self.aim) && self.can_answer());
@@ -351,6 +355,12 @@
         wants
     }
 
+    /// What the first phase took, as far as scouts spoke: one that was cut off at its budget would else make
+    /// the next budget longer, and that one the next.
+    fn scouting_took(&self) -> Option<Micros> {
+        self.spoke.map(|at| at.saturating_sub(self.began))
+    }
+
     /// What bounds a block: nothing bounds one whose scout is silent.
     fn bound(&self, block: usize) -> Option<f64> {
         match self.blocks[block].seen {
--- a/crates/core/tests/phases.rs
+++ b/crates/core/tests/phases.rs
@@ -343,6 +343,9 @@
         assert!(plan.scouted(1_000, 0, Ok(Sketch { bound: 5.0, count: None })).is_empty());
         assert_eq!(plan.due(), Some(300_000));
         let wants = plan.tick(300_000);
+        // Guards the clock against its own budgets: what scouts that spoke took is recorded, not the wait for
+        // those that did not.
+        assert_eq!(plan.times().0, Some(1_000));
         assert_eq!(wants, [Want::DropScouts(vec![1, 2]), Want::Fetch(fetch)]);
     }
     // The end of all time comes in the same turn as the end of the scouts'.
--- a/crates/router/tests/rules.rs
+++ b/crates/router/tests/rules.rs
@@ -860,3 +860,35 @@
     assert_eq!(actions, [Action::Cancel { part: sent[0].0, attempt: 0 }]);
     assert!(sends(&d.pass(SECOND)).iter().all(|(part, _)| *part != sent[0].0));
 }
+
+// Guards others against planned queries under overload: the rate refuses these whole and before any part, as it
+// does others, and one that was let in keeps its later parts.
+#[test]
+fn overload_refuses_planned_queries_before_their_first_phase() {
+    let mut d = Driver::ready(safe());
+    let mut number = 1;
+    while d.router.drop_rate(ClassId(0)).is_some_and(|rate| rate < 0.4) {
+        // Queries that miss their aim, one after the other.
+        d.query(number, 0, &[0]);
+        d.pass(3 * SECOND);
+        d.give(vec![Event::Left(QueryId(number))]);
+        number += 1;
+        assert!(number < 2_000, "the rate does not rise");
+    }
+    let mut refused = [0, 0];
+    for round in 0..100 {
+        let plans = round % 2 == 0;
+        let query = 1_000_000 + round;
+        let actions = if plans { planned(&mut d, query, &[1, 3], true) } else { d.query(query, 0, &[1, 3]) };
+        let turned_away = actions.iter().any(|a| matches!(a, Action::Refuse { .. }));
+        refused[usize::from(plans)] += u32::from(turned_away);
+        assert_eq!(turned_away, sends(&actions).is_empty(), "refused before any part, or all parts sent");
+        if plans && !turned_away {
+            let (query, part) = (QueryId(query), part_id(query, 5));
+            let late = PartArrival { query, part, shard: ShardId(4), weight: 0.5, harmless: false };
+            assert_eq!(sends(&d.give(vec![Event::Part(late)])).len(), 1, "a later part is not refused");
+        }
+        d.give(vec![Event::Left(QueryId(query))]);
+    }
+    assert!(refused.iter().all(|&count| count > 5), "{refused:?} of 50 each");
+}
