Test a client's GOAWAY before any stream, within a request and on an open exchange

Need: of a client's GOAWAY only one state had a test. Change: a scenario for three more, in the catalogue.

--- a/crates/mallowgauge/tests/flight_hard.rs
+++ b/crates/mallowgauge/tests/flight_hard.rs
@@ -416,3 +416,33 @@
     assert_eq!(raw.ask("DoGet", &[], &ticket).status(), Some(3));
     assert_eq!(cluster.runs("a"), []);
 }
+
+#[test]
+fn a_goaway_of_a_client_counts_for_what_comes_behind_it_alone() {
+    let cluster = quiet(tables());
+    let away = |raw: &mut Raw| raw.frame(raw::GOAWAY, 0, 0, &[0; 8]);
+    // Before any stream: the connection may still be used by its client, or ends; nobody else notices.
+    let mut raw = Raw::connect(cluster.program.flight);
+    away(&mut raw);
+    raw.finish();
+    assert!(raw.is_closed());
+    // While a request is coming in: what is left of it is taken, and it is answered.
+    let mut raw = Raw::connect(cluster.program.flight);
+    let ticket = info(&mut raw, &command("place-hold", "half", &[0]));
+    let stream = raw.open("DoGet", &[], false);
+    raw.data(stream, &ticket[..10], false);
+    away(&mut raw);
+    raw.data(stream, &ticket[10..], true);
+    assert_eq!(raw.reply(stream, true).status(), Some(0));
+    assert_eq!(cluster.runs("half"), [(0, 1)]);
+    // While an exchange is open: what is open on it is answered, and so is what comes behind.
+    let mut raw = Raw::connect(cluster.program.flight);
+    let stream = raw.open("DoExchange", &[], false);
+    raw.data(stream, &query("a", &command("place-hold", "xa", &[0])), false);
+    away(&mut raw);
+    raw.data(stream, &query("b", &command("place-hold", "xb", &[1])), true);
+    let reply = raw.reply(stream, true);
+    assert_eq!(reply.status(), Some(0));
+    assert_eq!((cluster.runs("xa"), cluster.runs("xb")), (vec![(0, 1)], vec![(1, 1)]));
+    assert!(serves(&cluster));
+}
