Give up polled flights in one place, drop an unused verdict, read no schema twice

Change: forgetting is apart from giving up, which only expire does; the verdict is the outcome; the columns are taken as a schema; one constant. No bound or check is changed, the tests keep their assertions.

--- a/crates/core/src/flights.rs
+++ b/crates/core/src/flights.rs
@@ -207,7 +207,7 @@
         caller: Option<Caller>,
         run: RunId,
     ) -> Verdict<O> {
-        self.expire(now);
+        self.forget_old(now);
         let unpolled = now + self.bounds.unpolled;
         if let Some(flight) = self.flights.get_mut(key) {
             if flight.spec.body != spec.body {
@@ -290,7 +290,7 @@
 
     /// Where a flight stands; asking keeps a polled one alive.
     pub fn look(&mut self, now: Micros, key: &Key) -> Option<Standing<O>> {
-        self.expire(now);
+        self.forget_old(now);
         let unpolled = now + self.bounds.unpolled;
         Some(match &mut self.flights.get_mut(key)?.state {
             State::Running(running) => {
@@ -305,7 +305,7 @@
 
     /// A client wants a flight cancelled; `touched` says of a run whether a part of it may have run.
     pub fn cancel(&mut self, now: Micros, key: &Key, touched: impl Fn(RunId) -> bool) -> Cancel {
-        self.expire(now);
+        self.forget_old(now);
         let Some(flight) = self.flights.get_mut(key) else { return Cancel::Unknown };
         let (run, callers) = match &mut flight.state {
             State::Running(running) if flight.spec.effect && touched(running.run) => return Cancel::TooLate,
@@ -353,7 +353,7 @@
 
     /// A client wants an outcome kept for longer: until when it is.
     pub fn renew(&mut self, now: Micros, key: &Key) -> Option<Micros> {
-        self.expire(now);
+        self.forget_old(now);
         let State::Done { until, .. } = &mut self.flights.get_mut(key)?.state else { return None };
         self.ends.remove(&(*until, key.clone()));
         *until = now + self.bounds.keep;
@@ -375,14 +375,7 @@
     /// Forgets what has been kept for long enough, and gives up polled flights that nobody asks about: the
     /// runs that are to be given up.
     pub fn expire(&mut self, now: Micros) -> Vec<RunId> {
-        while self.ends.first().is_some_and(|(at, _)| *at <= now) {
-            self.forget_first(now);
-        }
-        while let Some(&(at, mark)) = self.mark_ends.first().filter(|(at, _)| *at <= now) {
-            self.mark_ends.remove(&(at, mark));
-            let made = self.marks.remove(&mark);
-            self.forgotten = self.forgotten.max(made);
-        }
+        self.forget_old(now);
         let idle = |running: &Running| running.callers.is_empty() && running.idle.is_some_and(|at| at <= now);
         let over = self.runs.iter().filter(|(_, key)| match self.flights.get(key).map(|f| &f.state) {
             Some(State::Running(running)) => idle(running),
@@ -400,6 +393,18 @@
         over.into_iter().map(|(run, _)| run).collect()
     }
 
+    /// Forgets what has been kept for long enough.
+    fn forget_old(&mut self, now: Micros) {
+        while self.ends.first().is_some_and(|(at, _)| *at <= now) {
+            self.forget_first(now);
+        }
+        while let Some(&(at, mark)) = self.mark_ends.first().filter(|(at, _)| *at <= now) {
+            self.mark_ends.remove(&(at, mark));
+            let made = self.marks.remove(&mark);
+            self.forgotten = self.forgotten.max(made);
+        }
+    }
+
     /// Lets go of the outcome that is due first, and keeps that its flight is over; `false` if there is none.
     fn spend_first(&mut self) -> bool {
         for (_, key) in &self.ends {
--- a/crates/core/src/truth.rs
+++ b/crates/core/src/truth.rs
@@ -48,19 +48,10 @@
     GivenUp,
 }
 
-/// What is said of the attempt, and whether its connection may carry more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Verdict {
-    /// What the router is told.
-    pub outcome: Outcome,
-    /// Other streams of the connection may go on, and new ones may be opened.
-    pub connection: bool,
-}
-
-/// What may be said.
+/// What the router is told of the attempt.
 #[must_use]
-pub fn verdict(stage: Stage, end: End) -> Verdict {
-    let outcome = match (stage, end) {
+pub fn verdict(stage: Stage, end: End) -> Outcome {
+    match (stage, end) {
         // Nothing was handed over, whatever happened then.
         (Stage::Queued, End::GivenUp) => Outcome::Cancelled,
         (Stage::Queued, _) => Outcome::NoRoute,
@@ -76,9 +67,7 @@
         (_, End::Refused | End::Above | End::Reset | End::Broken | End::Spoilt | End::Stalled) => {
             Outcome::Cut
         }
-    };
-    let connection = !matches!(end, End::Broken | End::Above);
-    Verdict { outcome, connection }
+    }
 }
 
 /// Whether an outcome proves that the part never ran.
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -31,7 +31,7 @@
 fn only_three_endings_and_the_hosts_own_word_prove_that_a_part_never_ran() {
     for stage in STAGES {
         for end in ENDS {
-            let said = verdict(stage, end).outcome;
+            let said = verdict(stage, end);
             let proved = match stage {
                 Stage::Queued => end != End::GivenUp,
                 Stage::Sent => matches!(end, End::Later | End::Refused | End::Above),
--- a/crates/edge/src/front/flight/methods.rs
+++ b/crates/edge/src/front/flight/methods.rs
@@ -618,6 +618,11 @@
     FlightDescriptor::decode(message.clone()).map_err(|_| bad("this is no descriptor"))
 }
 
+/// The columns of an answer as `FlightInfo` carries them.
+fn encapsulated(values: &[(mallowgauge_router::ShardId, mallowgauge_core::Value)]) -> Option<Bytes> {
+    Stream::columns(values).ok().and_then(|schema| answer::schema_message(&schema).ok())
+}
+
 impl Office {
     /// The schema of a class's answers, as far as it is known.
     fn schema(&self, class: ClassId) -> Option<Bytes> {
@@ -642,9 +647,7 @@
         if same || values.is_empty() {
             return;
         }
-        let header = Stream::header(values).ok();
-        let schema = header.and_then(|header| mallowgauge_flight::schema::read(&header).ok());
-        *slot = schema.and_then(|schema| answer::schema_message(&schema).ok());
+        *slot = encapsulated(values);
         if let Some(seen) = self.shown.get_mut(class.0) {
             *seen = first.cloned();
         }
@@ -753,10 +756,7 @@
                     info.total_records = values.iter().map(|(_, value)| rows(value)).sum();
                     info.total_bytes = values.iter().map(|(_, value)| value.bytes() as i64).sum();
                     info.app_metadata = json!({ "total": whole }).to_string().into();
-                    let header = Stream::header(values).ok();
-                    let schema = header.and_then(|h| mallowgauge_flight::schema::read(&h).ok());
-                    let schema = schema.and_then(|schema| answer::schema_message(&schema).ok());
-                    info.schema = schema.unwrap_or_default();
+                    info.schema = encapsulated(values).unwrap_or_default();
                 }
                 info.endpoint = vec![self.sealed(now, command, user, now, true)];
                 let expiration_time = Some(timestamp(until));
--- a/crates/edge/src/front/flight/mod.rs
+++ b/crates/edge/src/front/flight/mod.rs
@@ -446,7 +446,7 @@
                         up.graceful_shutdown();
                     }
                 }
-                connection.calls.values_mut().for_each(|call| call.drain(now));
+                connection.calls.values_mut().for_each(Call::drain);
             }
             self.ready(now, id, core);
         }
@@ -637,8 +637,8 @@
         method => Work::Request(method),
     };
     // A handshake by header lines alone is answered at once: its client may keep its side open.
-    let basic = text("authorization").map(str::to_owned);
-    let basic_headers = (method == Method::Handshake && basic.is_some()).then(|| headers.clone());
+    let named = method == Method::Handshake && headers.contains_key("authorization");
+    let basic_headers = named.then(|| headers.clone());
     let mut call = Call::new(now, head, work, request, respond, (limits.message, limits.send_buffer));
     if let Some(headers) = basic_headers {
         match office.door.who(now, &headers, &mut office.admission) {
@@ -850,7 +850,7 @@
     }
 
     /// The program ends.
-    fn drain(&mut self, _now: Micros) {
+    fn drain(&mut self) {
         if let Work::Long(long) = &mut self.work {
             long.batch.drain();
             long.last =
--- a/crates/edge/src/upstream/flight.rs
+++ b/crates/edge/src/upstream/flight.rs
@@ -369,7 +369,7 @@
     /// The connection is over: calls that were not begun have never run, the rest may have.
     pub fn end(&mut self, reports: &mut Vec<Report>) {
         let never = self.queue.drain(..).flatten().map(|send| send.attempt);
-        let outcome = truth::verdict(Stage::Queued, End::Broken).outcome;
+        let outcome = truth::verdict(Stage::Queued, End::Broken);
         reports.extend(never.map(|id| Report::Ended(id, outcome, None)));
         for mut call in self.calls.drain(..) {
             call.report(self.server, End::Broken, &self.terms.budget, reports);
@@ -547,7 +547,7 @@
 
     /// Says how the part ended.
     fn report(&mut self, server: ServerId, end: End, budget: &Budget, reports: &mut Vec<Report>) {
-        let mut outcome = truth::verdict(self.stage, end).outcome;
+        let mut outcome = truth::verdict(self.stage, end);
         let mut value = None;
         if outcome == Outcome::Served {
             match self.value(budget) {
--- a/crates/flight/src/answer.rs
+++ b/crates/flight/src/answer.rs
@@ -177,19 +177,29 @@
         schema_header(&ranked_schema())
     }
 
-    /// The schema of the answer with these values, as a message's header.
+    /// The columns of the answer with these values.
+    ///
+    /// # Errors
+    /// They do not agree.
+    pub fn columns(values: &[(ShardId, Value)]) -> Result<Schema, String> {
+        let table = |(_, value): &(ShardId, Value)| match value {
+            Value::Table(table) => Some(Rc::clone(table)),
+            Value::Text(_) => None,
+        };
+        let tables: Vec<Rc<Table>> = values.iter().filter_map(table).collect();
+        if tables.is_empty() {
+            Ok(text_schema())
+        } else {
+            united(tables.iter())
+        }
+    }
+
+    /// The same as a message's header.
     ///
     /// # Errors
     /// They do not agree.
     pub fn header(values: &[(ShardId, Value)]) -> Result<Bytes, String> {
-        let tables: Vec<&Rc<Table>> = values
-            .iter()
-            .filter_map(|(_, value)| match value {
-                Value::Table(table) => Some(table),
-                Value::Text(_) => None,
-            })
-            .collect();
-        Ok(schema_header(&if tables.is_empty() { text_schema() } else { united(tables.into_iter())? }))
+        Self::columns(values).map(|schema| schema_header(&schema))
     }
 
     /// The next message, in pieces, in gRPC's frame; `None` at the end.
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -69,8 +69,6 @@
 /// Tickets and tokens count for so long where nothing else is said.
 const TICKET_S: u64 = 600;
 const TOKEN_S: u64 = 3600;
-/// Fewer bytes than this are no key.
-const SHORTEST_KEY: usize = 16;
 /// Longest life that can be set: 30 days.
 const LONGEST_S: u64 = 30 * 86_400;
 
@@ -201,7 +199,7 @@
         Some(_) => return Err(part.bad("hosts", "is neither a list of ids nor \"all\"")),
     };
     let key = part.file("key")?;
-    if key.as_ref().is_some_and(|key| key.len() < SHORTEST_KEY) {
+    if key.as_ref().is_some_and(|key| key.len() < mallowgauge_flight::seal::SHORTEST_KEY) {
         return Err(part.bad("key", "is a file of fewer than 16 bytes"));
     }
     let users = part.file("users")?.map(|text| users(&text, &part)).transpose()?;
