Give every host of a large fleet a connection, and blame no host for want of one here

Ruled out: load on hosts (12 full queues), the rate loop (24 refusals of 5,503 queries), doomed queries (312), CPU (0.03 of a core). Cause: Room::of in gatherer.rs gave hosts a quarter of the descriptors, 124 connections for 179 hosts, and nothing gave way; Pool::call reported what found no connection as NoRoute, a sign against the host, so that every gatherer held a third of the fleet for sick and probed it.

Change: core/links decides the shares (one connection a host and a quarter to spare, up to five eighths of the descriptors, where the fleet is larger than a quarter of them), which connection a call takes, and which one gives way (the one that has rested longest). What finds none here has never been sent. Buffers of all host connections have one bound in bytes in the place of a worst case each. The pool keeps an index by host and by deadline: its scans over all connections for each call and step grew with the fleet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod batch;
 pub mod budget;
 pub mod flights;
+pub mod links;
 pub mod phases;
 pub mod sessions;
 pub mod truth;
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -14,6 +14,7 @@
 use crate::upstream::{Pool, Report};
 use mallowgauge_core::admission::Limits;
 use mallowgauge_core::budget::{self, Budget};
+use mallowgauge_core::links::{Means, Shares};
 use mallowgauge_core::{Asker, AttemptId, Core, Effect, Value};
 use mallowgauge_flight::{rows, schema};
 use mallowgauge_net::{Clock, Handle, Listener, Owner, Token};
@@ -22,35 +23,32 @@
 use mallowgauge_settings::zone;
 use mallowgauge_settings::Config;
 
-/// Descriptors kept for what is neither a client nor a host: the loop, discovery, listeners, the log.
-const RESERVED: usize = 16;
-/// The most that the buffers of one connection to a host are reckoned to hold: a frame that comes and a call
-/// that goes.
+/// The most that the buffers of one Flight connection to a host are reckoned to hold beside its budget's.
 const HOST_BYTES: usize = 128 * 1024;
 
 /// How many connections of each kind there may be, from the limits on descriptors and memory: all their
 /// buffers together, full, stay within seven eighths of the memory.
 struct Room {
-    clients: usize,
-    hosts: usize,
+    shares: Shares,
     flight: Limits,
 }
 
 impl Room {
-    /// A quarter of the memory goes to hosts' connections, half to HTTP's. Where Flight is set up, it has
-    /// half of all, and the others share the rest in the same way.
-    fn of(config: &Config) -> Self {
-        let sockets = config.links.sockets.saturating_sub(RESERVED);
-        let offered =
-            config.flight.listen.is_some() || config.flight.every_host || !config.flight.hosts.is_empty();
-        let share = if offered { 2 } else { 1 };
-        let memory = config.memory / share;
-        let hosts = (sockets / 4).min(memory / 4 / HOST_BYTES).max(1);
-        let streams = (hosts * config.links.streams).min(config.bounds.max_open);
-        let flight = Limits::of(config.memory / 2, if offered { sockets } else { 0 }, streams);
-        let taken = if config.flight.listen.is_some() { flight.connections } else { 0 };
-        let clients = (sockets - hosts).saturating_sub(taken).min(memory / 2 / http::LARGEST).max(1);
-        Self { clients, hosts, flight }
+    /// Where Flight is set up, it has half of the memory, and the others share the rest.
+    fn of(config: &Config, hosts: usize) -> Self {
+        let (sockets, flight) = (config.links.sockets, &config.flight);
+        let offered = flight.listen.is_some() || flight.every_host || !flight.hosts.is_empty();
+        let memory = if offered { config.memory / 2 } else { config.memory };
+        let mut shares = Shares::of(Means { sockets, memory, hosts, a_client: http::LARGEST });
+        if offered {
+            shares.hosts = shares.hosts.min(memory / 4 / HOST_BYTES).max(1);
+        }
+        let streams = (shares.hosts * config.links.streams).min(config.bounds.max_open);
+        let limits = Limits::of(config.memory / 2, if offered { sockets } else { 0 }, streams);
+        if flight.listen.is_some() {
+            shares.clients = shares.clients.saturating_sub(limits.connections).max(1);
+        }
+        Self { shares, flight: limits }
     }
 }
 
@@ -86,14 +84,14 @@
     /// One line that says what is wrong.
     fn start(load: Load, handle: Handle) -> Result<Self, String> {
         let config = load()?;
-        let room = Room::of(&config);
+        let known = parse(&config.known).map_err(|e| format!("known: {e}"))?;
+        let room = Room::of(&config, known.hosts.len());
         let clock = Clock::start();
         let zones = config.site.zones.clone();
         let classes = config.site.classes.len();
         let mut core = Core::new(config.seed, config.site.settings, config.site.classes, config.bounds)
             .map_err(|e| e.to_string())?;
         config.phases.iter().for_each(|phases| core.set_phases(*phases));
-        let known = parse(&config.known).map_err(|e| format!("known: {e}"))?;
         let listener = Listener::bind(&handle, config.listen, Token { kind: token::HTTP_LISTENER, id: 0 })
             .map_err(|e| format!("{}: {e}", config.listen))?;
         let token = Token { kind: token::FLIGHT_LISTENER, id: 0 };
@@ -113,10 +111,10 @@
             clock,
             lifecycle: Lifecycle::default(),
             core,
-            http: http::Front::new(room.clients),
+            http: http::Front::new(room.shares.clients),
             flight: flight::Front::new(&setup)?,
             flight_listener,
-            pool: Pool::new(config.links, config.flight.clone(), room.hosts, terms),
+            pool: Pool::new(config.links, config.flight.clone(), room.shares, terms),
             discovery: Discovery::new(config.discovery, known.generation),
             roster: Roster::default(),
             zones,
--- a/crates/edge/src/upstream/flight.rs
+++ b/crates/edge/src/upstream/flight.rs
@@ -154,6 +154,12 @@
         self.queue.iter().map(Vec::len).sum::<usize>() + self.calls.len()
     }
 
+    /// Nothing is out, on its way or being opened.
+    #[must_use]
+    pub fn rests(&self) -> bool {
+        self.load() == 0 && self.probe.is_none() && matches!(self.state, State::Up(..))
+    }
+
     /// When it was last of use.
     #[must_use]
     pub fn used(&self) -> Micros {
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -1,13 +1,13 @@
 //! The pool: connections to each host, opened as needed and kept while they are of use.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use crate::token;
 use crate::upstream::flight::{FlightLink, Terms};
 use crate::upstream::frames::{self, Said};
 use crate::upstream::{Report, SLOWEST_FRAME};
+use mallowgauge_core::links::{choose, fullest, gives_way, Choice, Room, Shares, View};
 use mallowgauge_core::{AttemptId, Send};
 use mallowgauge_net::{Handle, ReadEnd, Stream, Token};
 use mallowgauge_router::*;
@@ -16,11 +16,6 @@
 
 /// A connection is closed after this share of the time after which hosts close it.
 const IDLE_SHARE: f64 = 0.8;
-/// No host is given more connections at a time than this.
-const MOST_A_HOST: usize = 8;
-/// While all connections to a host are busy, others are opened up to so many: what breaks one then cuts
-/// few parts.
-const SPREAD: usize = 4;
 
 #[derive(Debug)]
 struct Place {
@@ -34,8 +29,15 @@
     flight: Flight,
     hosts: BTreeMap<ServerId, Place>,
     connections: BTreeMap<u64, Connection>,
+    /// The connections of each host: with hundreds of hosts, a look at all for each call costs more than
+    /// the call.
+    held: BTreeMap<ServerId, Vec<u64>>,
+    /// When each connection has to be looked at, for the same reason.
+    due: BTreeSet<(Micros, u64)>,
+    /// What the buffers of all connections hold.
+    bytes: usize,
     next: u64,
-    most: usize,
+    shares: Shares,
     reports: Vec<Report>,
     terms: Terms,
 }
@@ -53,6 +55,9 @@
     server: ServerId,
     addr: SocketAddr,
     link: Link,
+    /// What stands of it in the pool's `due` and `bytes`.
+    due: Option<Micros>,
+    bytes: usize,
 }
 
 impl Link {
@@ -99,6 +104,22 @@
         }
     }
 
+    /// Nothing is out, on its way or being opened.
+    fn rests(&self) -> bool {
+        match self {
+            Link::Frames(link) => link.rests(),
+            Link::Flight(link) => link.rests(),
+        }
+    }
+
+    /// What its buffers hold; of a Flight connection that has a budget of its own, nothing here.
+    fn bytes(&self) -> usize {
+        match self {
+            Link::Frames(link) => link.bytes(),
+            Link::Flight(_) => 0,
+        }
+    }
+
     fn end(&mut self, reports: &mut Vec<Report>) {
         match self {
             Link::Frames(link) => link.end(reports),
@@ -108,11 +129,22 @@
 }
 
 impl Pool {
-    /// A pool of at most `most` connections.
+    /// A pool of as many connections as its share allows.
     #[must_use]
-    pub fn new(links: Links, flight: Flight, most: usize, terms: Terms) -> Self {
-        let (hosts, connections, reports) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
-        Self { links, flight, hosts, connections, next: 1, most, reports, terms }
+    pub fn new(links: Links, flight: Flight, shares: Shares, terms: Terms) -> Self {
+        Self {
+            links,
+            flight,
+            hosts: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            held: BTreeMap::new(),
+            due: BTreeSet::new(),
+            bytes: 0,
+            next: 1,
+            shares,
+            reports: Vec::new(),
+            terms,
+        }
     }
 
     /// What discovery tells of a host.
@@ -126,7 +158,27 @@
     /// A host is gone: what is out there is waited for, and nothing else is kept of it.
     pub fn forget(&mut self, now: Micros, server: ServerId) {
         self.hosts.remove(&server);
-        self.connections.retain(|_, c| c.server != server || c.link.load(now) > 0);
+        for id in self.held_by(server) {
+            if self.connections.get(&id).is_some_and(|c| c.link.load(now) == 0) {
+                self.remove(id);
+            }
+        }
+    }
+
+    fn held_by(&self, server: ServerId) -> Vec<u64> {
+        self.held.get(&server).cloned().unwrap_or_default()
+    }
+
+    fn remove(&mut self, id: u64) {
+        let Some(gone) = self.connections.remove(&id) else { return };
+        self.bytes -= gone.bytes;
+        gone.due.into_iter().for_each(|at| _ = self.due.remove(&(at, id)));
+        if let Some(held) = self.held.get_mut(&gone.server) {
+            held.retain(|other| *other != id);
+            if held.is_empty() {
+                self.held.remove(&gone.server);
+            }
+        }
     }
 
     /// What has been reported since the last look.
@@ -141,7 +193,8 @@
             match self.connection(now, handle, server, &sends) {
                 Some(id) => self.with(id, |c, reports| c.link.call(now, sends, reports)),
                 None => {
-                    let never = |send: Send| Report::Ended(send.attempt, Outcome::NoRoute, None);
+                    // The want is here: it says nothing of the host.
+                    let never = |send: Send| Report::Ended(send.attempt, Outcome::NeverSent, None);
                     self.reports.extend(sends.into_iter().map(never));
                 }
             }
@@ -150,46 +203,90 @@
     }
 
     fn with(&mut self, id: u64, act: impl FnOnce(&mut Connection, &mut Vec<Report>) -> bool) {
+        let idle = self.idle();
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        if !act(connection, &mut self.reports) {
+        let alive = act(connection, &mut self.reports);
+        let (due, bytes) = (connection.link.due(idle), connection.link.bytes());
+        if due != connection.due {
+            connection.due.into_iter().for_each(|at| _ = self.due.remove(&(at, id)));
+            due.into_iter().for_each(|at| _ = self.due.insert((at, id)));
+            connection.due = due;
+        }
+        self.bytes = self.bytes + bytes - connection.bytes;
+        connection.bytes = bytes;
+        if !alive {
+            self.end(id);
+        }
+        while self.bytes > self.shares.host_bytes {
+            let Some(id) = fullest(self.connections.iter().map(|(&id, c)| (id, c.bytes))) else { return };
+            let server = self.connections.get(&id).map_or(0, |c| c.server.0);
+            tracing::warn!("host {server}: no room for what it sends");
+            self.end(id);
+        }
+    }
+
+    fn end(&mut self, id: u64) {
+        if let Some(connection) = self.connections.get_mut(&id) {
             connection.link.end(&mut self.reports);
-            self.connections.remove(&id);
         }
+        self.remove(id);
     }
 
-    /// A connection with room for these, or else a new one: the emptiest first, and of those the one used
-    /// last, since the longer one rests the likelier it has gone without a word. Silent ones are taken
-    /// only where no more can be opened. What it has to say is read first: one that the host has closed
-    /// must not be written to.
+    /// A connection with room for these, as `core::links` chooses it, or else a new one. What it has to say
+    /// is read first: one that the host has closed must not be written to.
     fn connection(&mut self, now: Micros, handle: &Handle, server: ServerId, sends: &[Send]) -> Option<u64> {
         let place = self.hosts.get(&server)?;
         let (addr, flight, links) = (place.addr, place.flight, self.links);
-        let spread = (self.most / self.hosts.len().max(1)).clamp(1, SPREAD);
-        let fits = |c: &Connection| {
-            let load = c.link.load(now);
+        let fits = |c: &Connection, load: usize| {
             c.addr == addr && (load == 0 || load + sends.len() <= links.streams) && c.link.usable(sends)
         };
-        let is_silent = |c: &Connection| c.link.silent_since().is_some_and(|at| at + links.silent <= now);
-        loop {
-            let held = self.connections.iter().filter(|(_, c)| c.server == server);
-            let rank = |c: &Connection| (is_silent(c), c.link.load(now), Reverse(c.link.used()));
-            let best = held.clone().filter(|(_, c)| fits(c)).min_by_key(|(_, c)| rank(c));
-            let Some((id, (silent, load, _))) = best.map(|(&id, c)| (id, rank(c))) else { break };
-            let most = if silent { MOST_A_HOST } else { spread };
-            if load > 0 && held.count() < most && self.connections.len() < self.most {
-                break;
-            }
+        let (instead, idle) = loop {
+            let held = self.held.get(&server).map(Vec::as_slice).unwrap_or_default();
+            let view = |&id: &u64| {
+                let c = self.connections.get(&id)?;
+                let load = c.link.load(now);
+                let silent = c.link.silent_since().is_some_and(|at| at + links.silent <= now);
+                Some(View { id, fits: fits(c, load), silent, load, used: c.link.used() })
+            };
+            let views: Vec<View> = held.iter().filter_map(view).collect();
+            let most = self.shares.hosts;
+            let room = if self.connections.len() < most { Room::Free } else { Room::Crowded };
+            let id = match choose(&views, most, self.hosts.len(), room) {
+                Choice::Use(id) => id,
+                Choice::Open(instead) if room == Room::Crowded => {
+                    let resting = self.connections.iter().filter(|(_, c)| c.link.rests());
+                    match (gives_way(resting.map(|(&id, c)| (id, c.link.used()))), instead) {
+                        (None, Some(id)) => id,
+                        (other, _) => break (instead, other),
+                    }
+                }
+                Choice::Open(instead) => break (instead, None),
+                Choice::Nowhere => return None,
+            };
             self.ready(now, id);
-            if self.connections.get(&id).is_some_and(fits) {
+            if self.connections.get(&id).is_some_and(|c| fits(c, c.link.load(now))) {
                 return Some(id);
             }
+        };
+        if let Some(id) = idle {
+            self.remove(id);
         }
-        let held = self.connections.values().filter(|c| c.server == server);
-        if held.count() >= MOST_A_HOST || self.connections.len() >= self.most {
+        if self.connections.len() >= self.shares.hosts {
             tracing::warn!("host {}: no connection to spare", server.0);
             return None;
         }
-        let (id, until) = (self.next, now + links.dial);
+        self.open(now, handle, server, addr, flight).or(instead)
+    }
+
+    fn open(
+        &mut self,
+        now: Micros,
+        handle: &Handle,
+        server: ServerId,
+        addr: SocketAddr,
+        flight: bool,
+    ) -> Option<u64> {
+        let (id, until) = (self.next, now + self.links.dial);
         self.next += 1;
         match Stream::dial(handle, addr, Token { kind: token::HOST, id }) {
             Ok(stream) => {
@@ -199,7 +296,9 @@
                 } else {
                     Link::Frames(FrameLink::new(server, stream, now, until))
                 };
-                self.connections.insert(id, Connection { server, addr, link });
+                self.connections.insert(id, Connection { server, addr, link, due: None, bytes: 0 });
+                self.held.entry(server).or_default().push(id);
+                self.with(id, |_, _| true);
                 Some(id)
             }
             Err(e) => {
@@ -212,8 +311,7 @@
     /// Nobody waits for an attempt any more.
     pub fn abandon(&mut self, now: Micros, server: ServerId, attempt: AttemptId) {
         let silent = self.links.silent;
-        let held = self.connections.iter().filter(|(_, c)| c.server == server);
-        for id in held.map(|(&id, _)| id).collect::<Vec<_>>() {
+        for id in self.held_by(server) {
             self.with(id, |c, reports| match &mut c.link {
                 Link::Frames(link) => link.abandon(now, silent, attempt),
                 Link::Flight(link) => link.abandon(now, attempt, reports),
@@ -278,16 +376,14 @@
     /// When a connection has to be looked at.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
-        let idle = self.idle();
-        self.connections.values().filter_map(|c| c.link.due(idle)).min()
+        self.due.first().map(|(at, _)| *at)
     }
 
     /// Gives up dials and probes that take too long, and closes connections that stood idle.
     pub fn expire(&mut self, now: Micros) {
         let idle = self.idle();
-        let due = |c: &Connection| c.link.due(idle).is_some_and(|at| at <= now);
-        let ids: Vec<u64> = self.connections.iter().filter(|(_, c)| due(c)).map(|(&id, _)| id).collect();
-        for id in ids {
+        let due = self.due.iter().take_while(|(at, _)| *at <= now);
+        for id in due.map(|&(_, id)| id).collect::<Vec<_>>() {
             self.with(id, |c, reports| match &mut c.link {
                 Link::Frames(link) => link.expire(now, idle, reports),
                 Link::Flight(link) => link.expire(now, idle, reports),
@@ -364,6 +460,16 @@
         self.unwritten().count() + self.out.values().filter(|o| !o.given_up || o.until > now).count()
     }
 
+    fn rests(&self) -> bool {
+        let waiting = self.out.values().any(|out| !out.given_up);
+        let writes = self.writing.is_some() || !self.queue.is_empty();
+        !waiting && !writes && self.dialling.is_none() && self.probes.is_empty() && self.input.is_empty()
+    }
+
+    fn bytes(&self) -> usize {
+        self.input.len() + self.writing.as_ref().map_or(0, |(_, bytes)| bytes.len())
+    }
+
     fn silent_since(&self) -> Option<Micros> {
         self.out.values().filter(|out| !out.given_up).map(|out| out.sent.max(self.heard)).min()
     }
@@ -538,6 +644,10 @@
             return Err("more than belongs to an answer");
         }
         self.partial = (!self.input.is_empty()).then(|| self.partial.unwrap_or(now));
+        if self.input.is_empty() {
+            // Idle connections, of which there may be hundreds, hold no buffers.
+            self.input = Vec::new();
+        }
         Ok(())
     }
 
