Send cold hosts of a large fleet what they can do: a tie by warmth, one draw a query

Counted over all 100 gatherers second by second: warm hosts got 100 to 190 parts a second, 20 to 33% of them turned away, while 26 cold ones got 4 each, answered in 20 ms and turned none away, at ages up to 15 s of 17. Ruled out: the rate loop (130 of 1,000 refusals at the door; the others were doomed queries at full hosts), probes, dials (no refused ones). Cause, cold_room in rules.rs: the draw of a router whose share is under a part reckoned with every part that the server could hold, though ties send it a third of them; it was open only while nothing had gone there for a second, which at 0.65 parts a second and router halves it again; the pace was that of one second with a query in it; and the budget knows one core, where hosts bear two. Tie-breaks also gave cold and warm servers the same.

A query is drawn for once, and its parts may go to cold holders as far as the holders of the shard are warm in the mean, or as far as the budget goes, whichever is more; no router uses over a quarter of a cold server's budget. The core's query ids start from the seed: gatherers that restarted together drew and tied alike.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -288,7 +288,8 @@
             events: Vec::new(),
             wake: None,
             last_turn: None,
-            next_id: 1,
+            // Ties and draws go by a hash of the query: gatherers that started together must not draw alike.
+            next_id: (u128::from(seed) << 64) + 1,
         })
     }
 
--- a/crates/router/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -57,6 +57,8 @@
 const COPY_SHARE: f64 = 0.5;
 
 const COLD_USE: f64 = 0.8; // Share of our part of the cold budget that is used; the rest covers chance
+const COLD_ONE: f64 = 0.25; // Of all routers' share, what a busy one among many may use
+const COLD_START: f64 = 0.5; // Of that, what a router uses that has just started
 
 /// First and longest wait, with jitter, before asking for the list again after a failure.
 const ASK_FIRST: Micros = 500 * MS;
@@ -177,6 +179,7 @@
     now: Micros,
     loads: Vec<Load>,
     last_step: Option<Micros>,
+    began: Micros, // When the first events came
     queries: BTreeMap<QueryId, Query>,
     parts: BTreeMap<PartId, Part>,
     servers: BTreeMap<ServerId, Server>,
@@ -189,6 +192,7 @@
     to_send: Vec<PartId>,
     next_call: u64,
     taken: VecDeque<Micros>,
+    begun: VecDeque<Micros>, // When the parts of queries arrived that no rate refused
     extra: VecDeque<Micros>,
     subscribed: bool,
     ask_wait: Micros,
@@ -218,6 +222,7 @@
         let from = now.saturating_sub(self.budget().window);
         self.extra.retain(|&at| at >= from);
         self.taken.retain(|&at| at > from);
+        self.begun.retain(|&at| at > from);
         for event in events {
             match event {
                 Event::List(news) => self.list(news),
@@ -328,6 +333,9 @@
 
     /// The design's loop, one step for each period that has passed.
     fn step_rates(&mut self) {
+        if self.last_step.is_none() {
+            self.began = self.now;
+        }
         let last = *self.last_step.get_or_insert(self.now);
         let steps = (self.now.saturating_sub(last)) / STEP_EVERY;
         self.last_step = Some(last + steps * STEP_EVERY);
@@ -387,7 +395,12 @@
             // Past its aim on arrival it earns nothing, or too little while others are refused.
             let past = query.aim <= self.now && (rate > 0.0 || self.class(query.class).late_worth == 0.0);
             let mut shed = || rate > 0.0 && self.rng.as_mut().is_some_and(|rng| rng.f64() < rate);
-            if past || shed() || (!query.planned && self.is_doomed(query)) {
+            let shed = past || shed();
+            if !shed {
+                // Before it is asked whether they find room: those that find none have to count too.
+                self.begun.extend(query.parts.iter().map(|_| self.now));
+            }
+            if shed || (!query.planned && self.is_doomed(query)) {
                 self.refuse(id);
                 continue;
             }
@@ -433,10 +446,10 @@
     /// where the rules leave no room.
     fn best_wait(&self, part: &Part) -> Option<f64> {
         let fade = self.fade();
-        let wait = |(id, server): (ServerId, &Server)| {
+        let wait = |(_, server): (ServerId, &Server)| {
             let oldest = server.calls.values().next().map_or(0, |(sent, _)| self.now - sent);
             let wait = server.recent_now(self.now, fade) + oldest as f64;
-            wait.max(if self.cold_room(id, server, part, false) { 0.0 } else { f64::INFINITY })
+            wait.max(if self.cold_room(server, part, false) { 0.0 } else { f64::INFINITY })
         };
         self.holders(part.shard).map(wait).min_by(f64::total_cmp)
     }
@@ -500,12 +513,14 @@
             // Ties go to the own zone where crossing is paid for, but one call a server and turn, or a
             // query's neighbouring parts would all meet in the third of the servers that are near.
             let far = self.settings.crossing_costs && (this_turn > 0 || server.zone != self.settings.zone);
-            (doubt, tried, out, far, mix2(hash, id.0))
+            // Ties go by hash, to cold servers as often as what they can do stands to the others.
+            let tie = -(-unit(mix2(hash, id.0))).ln_1p() / self.warmth(server, self.now);
+            (doubt, tried, out, far, tie.to_bits())
         };
         self.holders(part.shard)
             .filter(|(id, server)| {
                 !part.attempts.iter().any(|a| a.is_out() && a.server == *id)
-                    && self.cold_room(*id, server, part, open.contains_key(id))
+                    && self.cold_room(server, part, open.contains_key(id))
             })
             .min_by_key(rank)
             .map(|(id, _)| id)
@@ -908,30 +923,45 @@
         made + 1.0 <= share * (budget.free + budget.share * taken)
     }
 
+    /// The share of its capacity that a server has on the slowest ramp that the rules allow.
+    fn warmth(&self, server: &Server, at: Micros) -> f64 {
+        let (rules, Some(started)) = (&self.settings.rules, server.started) else { return 1.0 };
+        let age = at.saturating_sub(started) as f64 / rules.warm_within.max(1) as f64;
+        (rules.cold_from + (1.0 - rules.cold_from) * age).clamp(0.01, 1.0)
+    }
+
     /// Whether a server that may be cold can take one more part from this router.
-    /// Many routers' shares are less than a part each: then one part may go by a draw of query and
-    /// server, so that all together send what the budget holds however uneven their traffic is. Covers
-    /// a lost zone's return. Could harm by chance: the share not used leaves room for that.
-    fn cold_room(&self, id: ServerId, server: &Server, part: &Part, in_call: bool) -> bool {
+    /// Many routers' shares are less than a part each: then parts go by a draw, so that all together send
+    /// what the budget holds however uneven their traffic is. It is one draw for a whole query: where all
+    /// are cold, one whose parts were drawn for apart would hardly ever find room for all. Covers a lost
+    /// zone's return. Could harm by chance: the share not used leaves room for that.
+    fn cold_room(&self, server: &Server, part: &Part, in_call: bool) -> bool {
         let rules = &self.settings.rules;
-        let Some(started) = server.started else { return true };
-        let age = self.now.saturating_sub(started);
-        if age >= rules.warm_within + rules.fall_window {
+        // As it stood at the start of the window; one core of warm speed assumed.
+        let warmth = self.warmth(server, self.now.saturating_sub(rules.fall_window));
+        if warmth >= 1.0 {
             return true;
         }
-        // The slowest ramp, as it stood at the start of the window; one core of warm speed assumed.
-        let age = age.saturating_sub(rules.fall_window) as f64;
-        let share = rules.cold_from + (1.0 - rules.cold_from) * age / rules.warm_within.max(1) as f64;
-        let room = COLD_USE * rules.tip_multiple * share.min(1.0) * rules.fall_window as f64;
+        let room = COLD_USE * rules.tip_multiple * warmth * rules.fall_window as f64;
         let recent = server.sent.iter().filter(|(at, _)| *at + rules.fall_window >= self.now);
         let sent: f64 = recent.map(|(_, work)| work).sum();
         let (work, ours) = (self.work(part.class, in_call), room / f64::from(self.settings.routers));
-        // Parts of ours in one window that this server might have been sent.
-        let holders = self.holders(part.shard).count();
-        let met = self.taken.iter().rev().take_while(|at| **at + rules.fall_window >= self.now).count();
-        let chances = (met * holders) as f64 / self.ready;
-        let drawn = (mix(part.query, ShardId(id.0)) >> 11) as f64 / (1_u64 << 53) as f64;
-        sent + work <= ours || (sent == 0.0 && drawn * work * chances < ours)
+        if self.work(part.class, false) <= ours || (sent > 0.0 && sent + work > COLD_ONE * room) {
+            return sent + work <= ours;
+        }
+        // Parts of ours in one window that would go to this server, at the pace of the last seconds: the
+        // last window alone holds one query or none where traffic is thin.
+        let span = (self.now - self.began).max(rules.fall_window).min(self.budget().window).max(1);
+        let met = self.begun.len() as f64 * rules.fall_window as f64 / span as f64;
+        let (mut holders, mut warm) = (0.0, 0.0);
+        for (_, holder) in self.holders(part.shard) {
+            (holders, warm) = (holders + 1.0, warm + self.warmth(holder, self.now));
+        }
+        let picked = met * holders / self.ready * self.warmth(server, self.now) / warm;
+        // Caution while the own pace is not known yet: a herd of routers may have started together.
+        let known = (self.now - self.began) as f64 / rules.fall_window.max(1) as f64;
+        let drawn = unit(mix(part.query, ShardId(u32::MAX)));
+        drawn < warm / holders || drawn * work * picked < ours * known.clamp(COLD_START, 1.0)
     }
 
     /// Work that one more part is counted as, with that of its call where it opens one.
@@ -959,6 +989,11 @@
     }
 }
 
+/// A hash as a number from 0 to below 1.
+fn unit(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// A hash of query and shard that is the same on every build.
 fn mix(query: QueryId, shard: ShardId) -> u64 {
     mix2((query.0 >> 64) as u64 ^ mix2(query.0 as u64, shard.0), shard.0)
