Try a suspect no sooner than its router's own traffic comes by it

Cause, first_trial in rules.rs: half the shortest aim, 0.19 s, doubled three times.

Change: the first wait is also half the time in which the router comes by every server once, up to 4 s.

--- a/crates/router/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -42,6 +42,7 @@
 const SIGN_GOOD: f64 = 0.05; // Of an answer that is no trial's: one cut in eight outweighs the others
 /// First wait before a suspect is tried with one part, as a share of the shortest aim ...
 const TRIAL_FIRST: f64 = 0.5;
+const TRIAL_ROUND: f64 = 0.5; // ... or of the time in which this router comes by every server once ...
 const TRIAL_DOUBLINGS: u32 = 3; // ... which doubles with each trial, so many times
 /// A part is overdue only beside the last answers: it waits over this multiple of their median ...
 const OVERDUE: f64 = 3.0;
@@ -709,9 +710,11 @@
     }
 
     /// The first wait before a trial, in the time of this site: what is slow here may be long elsewhere.
+    /// Not long before this router would come by the server again in any case: with hundreds of routers
+    /// one trial of each is all the traffic that a sound server gets.
     fn first_trial(&self) -> Micros {
         let aim = self.settings.classes.iter().map(|class| class.aim).min().unwrap_or(SECOND);
-        (aim as f64 * TRIAL_FIRST) as Micros
+        (aim as f64 * TRIAL_FIRST).max((TRIAL_ROUND * self.round()).min(FADE_LAST)) as Micros
     }
 
     /// The way back: a probe where probes are allowed, and when it passes one part as a trial.
@@ -738,10 +741,14 @@
         self.agenda.insert((self.now + (first << server.trials), Task::Trial(id)));
     }
 
+    /// How long this router needs to come by every server once.
+    fn round(&self) -> f64 {
+        self.budget().window as f64 * self.ready / self.taken.len().max(1) as f64
+    }
+
     /// How long news of a server is kept, at the traffic of this router.
     fn fade(&self) -> f64 {
-        let round = self.budget().window as f64 * self.ready / self.taken.len().max(1) as f64;
-        round.clamp(FADE_FIRST, FADE_LAST)
+        self.round().clamp(FADE_FIRST, FADE_LAST)
     }
 
     fn is_suspect(&self, id: ServerId) -> bool {
