Send what was turned away elsewhere at once while nothing is shed

Ruled out: too few holders (a part has three), the rate loop (a quarter of refusals at the door). Cause: send_all in rules.rs draws on OWN_BUDGET for attempts whose forerunners never ran, though no work is done twice. Test: twelve parts turned away all go elsewhere in that turn; twelve that may have run stay within the budget.

--- a/crates/router/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -489,7 +489,7 @@
                 }
                 continue;
             }
-            let free = first || self.budget_left(1.0);
+            let free = !self.is_extra(part) || self.budget_left(1.0);
             match free.then(|| self.choose(part, &open)).flatten() {
                 Some(server) => self.send(id, server, overdue, &mut open),
                 None if out => {}
@@ -545,6 +545,7 @@
         let Some((call, in_call)) = open.get_mut(&to) else { return };
         *in_call += 1;
         let call = *call;
+        let extra = self.parts.get(&id).is_some_and(|part| self.is_extra(part));
         let (Some(part), Some(server)) = (self.parts.get_mut(&id), self.servers.get_mut(&to)) else {
             return;
         };
@@ -554,7 +555,7 @@
         server.sent.push_back((self.now, work));
         server.calls.entry(call).or_insert((self.now, 0)).1 += 1;
         let trial = std::mem::take(&mut server.on_trial) && server.is_suspect();
-        if !part.attempts.is_empty() {
+        if extra {
             self.extra.push_back(self.now);
         }
         let number = part.attempts.len() as u32;
@@ -919,6 +920,14 @@
         }
     }
 
+    /// Whether one more attempt draws on the budget. On our own one, not where a part was only turned away
+    /// and its class sheds nothing: no work is done twice, and a wide query needs each of its parts.
+    fn is_extra(&self, part: &Part) -> bool {
+        let turned_away =
+            part.attempts.iter().all(Attempt::never_ran) && self.loads[part.class.0].rate == 0.0;
+        !(part.attempts.is_empty() || turned_away && self.settings.rules.budget.is_none())
+    }
+
     fn budget(&self) -> &Budget {
         self.settings.rules.budget.as_ref().unwrap_or(&OWN_BUDGET)
     }
--- a/crates/router/tests/rules.rs
+++ b/crates/router/tests/rules.rs
@@ -875,3 +875,22 @@
     }
     assert!(refused.iter().all(|&count| count > 5), "{refused:?} of 50 each");
 }
+
+/// Found at the whole fleet's size: a search of thirty parts met three full servers, and some of its parts
+/// waited for the budget of further attempts until the aim had passed, though nothing had run twice.
+#[test]
+fn parts_that_were_only_turned_away_all_go_elsewhere_while_nothing_is_shed() {
+    let mut d = Driver::ready(safe());
+    let sent = sends(&d.query(1, 0, &(0..12).collect::<Vec<_>>()));
+    assert_eq!(sent.len(), 12);
+    let away = |outcome| {
+        move |(part, _): &(PartId, ServerId)| Event::Outcome { part: *part, attempt: 0, outcome, took: MS }
+    };
+    let again = d.give(sent.iter().map(away(Outcome::NoRoom)).collect());
+    assert_eq!(sends(&again).len(), 12);
+    // What may have run draws on it: four, and a tenth of what was taken.
+    let mut d = Driver::ready(safe());
+    let sent = sends(&d.query(1, 0, &(0..12).collect::<Vec<_>>()));
+    let again = d.give(sent.iter().map(away(Outcome::Fault)).collect());
+    assert!((4..=6).contains(&sends(&again).len()), "{}", sends(&again).len());
+}
