Decide in a crate of its own who of the fleet is there, and who may be linked

Nothing decided where several processes meet.

Change: crates/fleet, free of I/O: members (SWIM with Lifeguard's slower doubt, graded evidence, refutation, lives without a clock), links (hellos, dials, room), flow (queues by worth, intake). No program uses it yet.

Measured: 20 tests in simulated time. A death with broken links is known to all of 3, 5 and 9 within 100 ms; a silence is doubted first and gone no sooner than 450 ms later; idle cost 10 messages a second a process.

--- /dev/null
+++ b/crates/fleet/tests/members.rs
@@ -0,0 +1,499 @@
+//! The view of the fleet, on a network of its own in simulated time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mallowgauge_fleet::flow::{Intake, Queue, Worth};
+use mallowgauge_fleet::links::{latest, Dials, Refusal, Register, Room};
+use mallowgauge_fleet::members::{Claim, Grade, Members, Message, Note, Order, Pace, State};
+use mallowgauge_fleet::{Incarnation, PeerId};
+use proptest::prelude::*;
+
+const MS: u64 = 1000;
+const DELAY: u64 = MS;
+
+/// A fleet whose links are up from the start; what is sent takes 1 ms.
+struct Fleet {
+    now: u64,
+    members: Vec<Members>,
+    /// (at, number, from, to, message); a message to a process that is not there breaks the link.
+    wire: BTreeMap<(u64, u64), (usize, usize, Message)>,
+    sent: u64,
+    cut: BTreeSet<(usize, usize)>,
+    dead: BTreeSet<usize>,
+    paused: BTreeSet<usize>,
+    notes: Vec<(u64, usize, Note)>,
+}
+
+fn peer(at: usize) -> PeerId {
+    PeerId(at as u16)
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let new = |at: usize| Members::new(0, peer(at), count, at as u64 + 1, Pace::default(), 7);
+        let members = (0..count).map(new).collect();
+        let (cut, dead, paused) = Default::default();
+        let mut fleet =
+            Self { now: 0, members, wire: BTreeMap::new(), sent: 0, cut, dead, paused, notes: Vec::new() };
+        for (a, b) in (0..count).flat_map(|a| (0..count).map(move |b| (a, b))).filter(|(a, b)| a != b) {
+            fleet.link(a, b);
+        }
+        fleet.run(3000);
+        fleet.notes.clear();
+        fleet
+    }
+
+    fn link(&mut self, a: usize, b: usize) {
+        let hello = self.members[b].own();
+        if let Some(known) = self.members[b].claim(peer(a)) {
+            self.members[a].learn(self.now, known);
+        }
+        self.members[a].linked(self.now, hello);
+    }
+
+    fn carry(&mut self, from: usize) {
+        for order in self.members[from].orders() {
+            match order {
+                Order::Send(to, message) => {
+                    self.sent += 1;
+                    let to = usize::from(to.0);
+                    if !self.cut.contains(&(from, to)) {
+                        self.wire.insert((self.now + DELAY, self.sent), (from, to, message));
+                    }
+                }
+                Order::Note(note) => self.notes.push((self.now, from, note)),
+                Order::Relink(_) => {}
+            }
+        }
+    }
+
+    /// Lets so many milliseconds pass.
+    fn run(&mut self, ms: u64) {
+        let end = self.now + ms * MS;
+        loop {
+            (0..self.members.len()).for_each(|at| self.carry(at));
+            let awake = |at: &usize| !self.dead.contains(at) && !self.paused.contains(at);
+            let due = (0..self.members.len()).filter(awake).filter_map(|at| self.members[at].due()).min();
+            let arrives = self.wire.keys().next().map(|(at, _)| *at);
+            let next = due.into_iter().chain(arrives).min().unwrap_or(end).max(self.now);
+            if next >= end {
+                self.now = end;
+                return;
+            }
+            self.now = next;
+            if let Some(entry) = self.wire.first_entry().filter(|entry| entry.key().0 <= next) {
+                let (from, to, message) = entry.remove();
+                if self.dead.contains(&to) {
+                    continue;
+                }
+                if self.paused.contains(&to) {
+                    // It stays in the socket.
+                    self.sent += 1;
+                    self.wire.insert((next + 20 * MS, self.sent), (from, to, message));
+                    continue;
+                }
+                self.members[to].heard(next, peer(from), message);
+                continue;
+            }
+            for at in (0..self.members.len()).filter(|at| !self.dead.contains(at)) {
+                if !self.paused.contains(&at) {
+                    self.members[at].tick(next);
+                }
+            }
+        }
+    }
+
+    fn kill(&mut self, dead: usize) {
+        self.dead.insert(dead);
+        self.wire.retain(|_, (_, to, _)| *to != dead);
+        for at in (0..self.members.len()).filter(|at| *at != dead) {
+            self.members[at].unlinked(self.now, peer(dead), true);
+        }
+    }
+
+    /// What a member holds of the others.
+    fn view(&self, at: usize) -> String {
+        let state = |other: usize| match self.members[at].state(peer(other)) {
+            None => '?',
+            Some(State::Alive) => 'a',
+            Some(State::Doubted) => 'd',
+            Some(State::Gone) => 'g',
+            Some(State::Left) => 'l',
+        };
+        (0..self.members.len()).map(state).collect()
+    }
+
+    fn ever(&self, of: usize, state: State) -> usize {
+        let is = |note: &Note| matches!(note, Note::Held(c) if c.about == peer(of) && c.state == state);
+        self.notes.iter().filter(|(_, _, note)| is(note)).count()
+    }
+}
+
+#[test]
+fn nobody_is_doubted_while_nothing_happens() {
+    let mut fleet = Fleet::new(9);
+    let before = fleet.sent;
+    fleet.run(60_000);
+    assert_eq!(fleet.notes, []);
+    // A question and an answer for each member and interval, and nothing else.
+    let each = (fleet.sent - before) as f64 / 9.0 / 60.0;
+    assert!((9.0..=10.5).contains(&each), "{each} messages a second");
+    let views: BTreeSet<u64> = fleet.members.iter().map(Members::view).collect();
+    assert_eq!(views.len(), 1);
+}
+
+#[test]
+fn a_death_with_broken_links_is_known_to_all_within_100_ms() {
+    for count in [3, 5, 9] {
+        let mut fleet = Fleet::new(count);
+        fleet.kill(1);
+        fleet.run(100);
+        for at in (0..count).filter(|at| *at != 1) {
+            assert_eq!(fleet.view(at).find('g'), Some(1), "{count}: {}", fleet.view(at));
+        }
+    }
+}
+
+#[test]
+fn silence_takes_longer_and_is_known_to_all() {
+    let mut fleet = Fleet::new(5);
+    fleet.paused.insert(2);
+    fleet.run(5000);
+    let first = |state: State| {
+        let is = |note: &Note| matches!(note, Note::Held(c) if c.about == peer(2) && c.state == state);
+        fleet.notes.iter().find(|(_, _, note)| is(note)).expect("such a note").0
+    };
+    let (doubted, gone) = (first(State::Doubted), first(State::Gone));
+    assert!(gone - doubted >= 450 * MS, "a doubt that only silence speaks for stands for a while");
+    for at in [0, 1, 3, 4] {
+        assert_eq!(fleet.view(at), "aagaa");
+    }
+}
+
+#[test]
+fn a_paused_process_learns_that_it_was_doubted_and_refutes() {
+    let mut fleet = Fleet::new(5);
+    fleet.paused.insert(2);
+    fleet.run(5000);
+    assert_eq!(fleet.ever(2, State::Gone), 4);
+    fleet.paused.clear();
+    fleet.run(500);
+    for at in 0..5 {
+        assert_eq!(fleet.view(at), "aaaaa", "seen by {at}");
+    }
+    assert!(fleet.notes.iter().any(|(_, at, note)| *at == 2 && matches!(note, Note::Refuted(_))));
+    // It was late itself, and held nobody else for it.
+    for other in [0, 1, 3, 4] {
+        assert_eq!(fleet.ever(other, State::Doubted), 0);
+    }
+}
+
+#[test]
+fn one_way_and_two_way_cuts_are_bridged_by_others() {
+    for cut in [vec![(0, 1)], vec![(0, 1), (1, 0)]] {
+        let mut fleet = Fleet::new(3);
+        fleet.cut.extend(cut);
+        fleet.run(20_000);
+        assert_eq!((fleet.ever(0, State::Doubted), fleet.ever(1, State::Doubted)), (0, 0));
+        assert_eq!((fleet.view(0), fleet.view(1)), ("aaa".to_owned(), "aaa".to_owned()));
+    }
+}
+
+#[test]
+fn a_link_that_flaps_alone_raises_no_doubt() {
+    let mut fleet = Fleet::new(4);
+    for _ in 0..50 {
+        fleet.members[0].unlinked(fleet.now, peer(1), true);
+        fleet.members[1].unlinked(fleet.now, peer(0), true);
+        fleet.run(200);
+        fleet.link(0, 1);
+        fleet.link(1, 0);
+        fleet.run(200);
+    }
+    assert_eq!(fleet.notes, []);
+}
+
+#[test]
+fn three_of_seven_cut_off_hold_the_others_gone_and_come_back() {
+    let mut fleet = Fleet::new(7);
+    for (a, b) in (0..3).flat_map(|a| (3..7).map(move |b| (a, b))) {
+        fleet.cut.extend([(a, b), (b, a)]);
+    }
+    fleet.run(15_000);
+    assert_eq!((fleet.view(0), fleet.view(6)), ("aaagggg".to_owned(), "gggaaaa".to_owned()));
+    fleet.cut.clear();
+    fleet.run(5000);
+    for at in 0..7 {
+        assert_eq!(fleet.view(at), "aaaaaaa", "seen by {at}");
+    }
+}
+
+#[test]
+fn who_says_that_it_ends_is_not_probed_and_not_doubted() {
+    let mut fleet = Fleet::new(3);
+    fleet.members[1].leave();
+    fleet.run(10);
+    fleet.kill(1);
+    fleet.run(10_000);
+    assert_eq!((fleet.view(0), fleet.view(2)), ("ala".to_owned(), "ala".to_owned()));
+}
+
+/// A process that starts anew under the name of `at`, which its peers knew.
+fn reborn(fleet: &mut Fleet, at: usize, nonce: u64) -> Incarnation {
+    let count = fleet.members.len();
+    fleet.members[at] = Members::new(fleet.now, peer(at), count, nonce, Pace::default(), 7);
+    fleet.dead.remove(&at);
+    let others = (0..count).filter(|other| *other != at && !fleet.dead.contains(other));
+    for other in others.collect::<Vec<_>>() {
+        fleet.link(at, other);
+        fleet.link(other, at);
+    }
+    fleet.members[at].incarnation()
+}
+
+#[test]
+fn a_process_that_is_back_at_once_goes_above_its_earlier_life() {
+    let mut fleet = Fleet::new(3);
+    fleet.kill(1);
+    fleet.run(5);
+    // Its nonce is lower than before: that must not matter.
+    let life = reborn(&mut fleet, 1, 0);
+    assert_eq!(life.number, 2);
+    fleet.run(500);
+    for at in 0..3 {
+        assert_eq!(fleet.view(at), "aaa");
+        assert_eq!(fleet.members[at].claim(peer(1)).map(|c| c.incarnation), Some(life));
+    }
+    // A claim of the old life that comes late changes nothing.
+    let old = Incarnation { number: 1, nonce: 2 };
+    let late = Claim {
+        about: peer(1),
+        incarnation: old,
+        round: 9,
+        state: State::Gone,
+        by: peer(2),
+        grade: Grade::Broken,
+    };
+    let now = fleet.now;
+    fleet.members[0].learn(now, late);
+    assert_eq!(fleet.view(0), "aaa");
+}
+
+#[test]
+fn of_two_processes_with_one_name_the_later_one_has_it_and_the_other_stands_aside() {
+    let mut fleet = Fleet::new(3);
+    let later = Incarnation { number: 2, nonce: 77 };
+    let mut claim = fleet.members[1].own();
+    (claim.incarnation, claim.by) = (later, peer(0));
+    let now = fleet.now;
+    fleet.members[1].learn(now, claim);
+    assert!(fleet.members[1].aside());
+    assert_eq!(fleet.members[1].incarnation().number, 1, "it does not climb over a living one");
+    // Once the later one is known to have gone, it has its name again.
+    claim.state = State::Gone;
+    fleet.members[1].learn(now, claim);
+    assert!(!fleet.members[1].aside());
+    assert_eq!(fleet.members[1].incarnation().number, 3);
+}
+
+#[test]
+fn a_clock_set_back_makes_nobody_doubted() {
+    let mut fleet = Fleet::new(3);
+    for at in 0..3 {
+        fleet.members[at].tick(0);
+        fleet.members[at].heard(1, peer((at + 1) % 3), Message::Tell { claims: Vec::new() });
+        fleet.members[at].unlinked(2, peer((at + 1) % 3), false);
+        fleet.link(at, (at + 1) % 3);
+    }
+    fleet.run(10_000);
+    assert_eq!(fleet.notes, []);
+}
+
+#[test]
+fn what_comes_of_nobody_is_passed_by() {
+    let mut members = Members::new(0, peer(0), 3, 1, Pace::default(), 7);
+    let claims = vec![Claim { about: peer(900), ..members.own() }];
+    members.heard(1, peer(900), Message::Tell { claims: claims.clone() });
+    members.heard(1, peer(1), Message::Tell { claims });
+    members.heard(1, peer(1), Message::Ack { seq: 5, claims: Vec::new() });
+    members.heard(1, peer(1), Message::AskFor { seq: 5, target: peer(900) });
+    let sent = members.orders();
+    assert_eq!(sent, []);
+}
+
+#[test]
+fn questions_for_others_are_bounded() {
+    let mut fleet = Fleet::new(3);
+    for seq in 0..1000 {
+        fleet.members[0].heard(fleet.now, peer(1), Message::AskFor { seq, target: peer(2) });
+    }
+    let orders = fleet.members[0].orders();
+    let asked = |o: &&Order| matches!(o, Order::Send(to, Message::Ping { .. }) if *to == peer(2));
+    assert_eq!(orders.iter().filter(asked).count(), 12);
+    let told = |o: &&Order| matches!(o, Order::Send(to, Message::Word { .. }) if *to == peer(1));
+    assert_eq!(orders.iter().filter(told).count(), 988, "who is not asked for is told so");
+}
+
+fn claims() -> impl Strategy<Value = Vec<Claim>> {
+    let state = prop_oneof![Just(State::Alive), Just(State::Doubted), Just(State::Gone), Just(State::Left)];
+    let grade = prop_oneof![Just(Grade::Silence), Just(Grade::Broken)];
+    let claim = (1_u16..4, 1_u64..3, 0_u64..2, 0_u32..3, state, 1_u16..4, grade).prop_map(
+        |(about, number, nonce, round, state, by, grade)| Claim {
+            about: PeerId(about),
+            incarnation: Incarnation { number, nonce },
+            round,
+            state,
+            by: PeerId(by),
+            grade,
+        },
+    );
+    prop::collection::vec(claim, 0..24)
+}
+
+proptest! {
+    // Whoever has heard the same claims holds the same view, whatever their order and however often.
+    #[test]
+    fn the_same_claims_in_any_order_give_the_same_view(all in claims(), seed in any::<u64>()) {
+        let mut shuffled = [all.clone(), all.clone()].concat();
+        fastrand::Rng::with_seed(seed).shuffle(&mut shuffled);
+        let new = || Members::new(0, PeerId(0), 4, 1, Pace::default(), 7);
+        let (mut a, mut b) = (new(), new());
+        all.iter().for_each(|claim| a.learn(5, *claim));
+        shuffled.iter().for_each(|claim| b.learn(5, *claim));
+        prop_assert_eq!(a.view(), b.view());
+        for at in 1..4 {
+            prop_assert_eq!(a.claim(PeerId(at)), b.claim(PeerId(at)));
+        }
+    }
+
+    // A queue holds its bound, gives out what it holds in order and whole, and never cuts a begun message.
+    #[test]
+    fn a_queue_is_bounded_and_the_least_worth_goes_first(
+        steps in prop::collection::vec((0_u8..4, 1_usize..40, 0_usize..30), 1..200)
+    ) {
+        let worths = [Worth::Hearsay, Worth::Question, Worth::Answer, Worth::Bond];
+        let mut queue = Queue::new(100);
+        let (mut pushed, mut out, mut dropped) = (Vec::new(), Vec::new(), 0);
+        for (number, (worth, length, written)) in steps.into_iter().enumerate() {
+            let message: Vec<u8> = std::iter::once(length as u8)
+                .chain(std::iter::repeat_n(number as u8, length))
+                .collect();
+            pushed.push(message.clone());
+            dropped += queue.push(worths[usize::from(worth)], message);
+            prop_assert!(queue.bytes() <= 100);
+            let next = queue.next().map(<[u8]>::to_vec).unwrap_or_default();
+            let written = written.min(next.len());
+            out.extend_from_slice(&next[..written]);
+            queue.wrote(written);
+        }
+        while let Some(next) = queue.next().map(<[u8]>::to_vec) {
+            out.extend_from_slice(&next);
+            queue.wrote(next.len());
+        }
+        prop_assert_eq!(dropped, queue.dropped());
+        // What came out are whole messages, in the order in which they were put in.
+        let (mut at, mut from, mut whole) = (0, 0, 0);
+        while at < out.len() {
+            let message = &out[at..=at + usize::from(out[at])];
+            let found = pushed[from..].iter().position(|known| known == message);
+            prop_assert!(found.is_some(), "a message that nobody sent, or out of its order");
+            from += found.unwrap_or_default() + 1;
+            at += message.len();
+            whole += 1;
+        }
+        prop_assert_eq!(whole + dropped, pushed.len() as u64);
+    }
+}
+
+#[test]
+fn an_answer_outlives_hearsay_and_questions() {
+    let mut queue = Queue::new(10);
+    for (worth, byte) in [(Worth::Answer, 1), (Worth::Hearsay, 2), (Worth::Question, 3)] {
+        assert_eq!(queue.push(worth, vec![byte; 3]), 0);
+    }
+    assert_eq!(queue.push(Worth::Bond, vec![4; 3]), 1);
+    assert_eq!(queue.push(Worth::Hearsay, vec![5; 3]), 1, "the newcomer itself, where it is worth least");
+    let mut left = Vec::new();
+    while let Some(next) = queue.next().map(<[u8]>::to_vec) {
+        left.push(next[0]);
+        queue.wrote(next.len());
+    }
+    assert_eq!(left, [1, 3, 4]);
+}
+
+#[test]
+fn a_flood_is_taken_at_its_rate() {
+    let mut intake = Intake::new(0, 100);
+    let taken = (0..1_000_000_u64).filter(|at| intake.take(*at)).count();
+    assert_eq!(taken, 199, "a hundred at once, and a hundred in the second that passed");
+}
+
+fn register(names: &[&str], me: u16, version: u64) -> Register {
+    Register::new(names.iter().map(|name| (*name).to_owned()).collect(), PeerId(me), version)
+}
+
+#[test]
+fn a_hello_has_to_fit_the_list() {
+    let here = register(&["a", "b", "c"], 0, 3);
+    let members = Members::new(0, PeerId(1), 3, 9, Pace::default(), 7);
+    let hello = |register: &Register| register.hello(&members.own(), None);
+    let sound = hello(&register(&["a", "b", "c"], 1, 3));
+    assert_eq!(here.judge(&sound, None), Ok(PeerId(1)));
+    assert_eq!(here.judge(&sound, Some(PeerId(1))), Ok(PeerId(1)));
+    let refused = |hello, dialed| here.judge(&hello, dialed).expect_err("a refusal").to_string();
+    assert_eq!(refused(sound.clone(), Some(PeerId(2))), "it calls itself \"b\"");
+    assert_eq!(refused(hello(&register(&["a", "x"], 1, 3)), None), "\"x\" is not in the list of peers");
+    assert_eq!(refused(hello(&register(&["a", "b"], 0, 3)), None), "it has this gatherer's own name");
+    assert_eq!(refused(hello(&register(&["a", "b", "c"], 1, 4)), None), "its list of peers is of version 4");
+    let same = "its list of peers has the same version and other names";
+    assert_eq!(refused(hello(&register(&["a", "b", "d"], 1, 3)), None), same);
+    assert_eq!(refused(hello(&register(&["b", "a", "c"], 0, 3)), None), same);
+    let mut other = sound.clone();
+    other.major = 2;
+    assert_eq!(refused(other, None), "its messages are of version 2, not 1");
+    let known = Claim { incarnation: Incarnation { number: 2, nonce: 0 }, ..members.own() };
+    assert_eq!(latest(&sound, Some(members.own())), Ok(()));
+    assert_eq!(latest(&sound, Some(known)), Err(Refusal::Superseded(known.incarnation)));
+}
+
+#[test]
+fn dials_are_spread_and_back_off_within_bounds() {
+    let names: Vec<String> = (0..300).map(|at| format!("n{at}")).collect();
+    let list = Register::new(names, PeerId(0), 1);
+    let mut dials = Dials::new(0, &list, 5);
+    assert!(dials.dials(PeerId(1)) && !dials.dials(PeerId(0)));
+    // A fleet that starts at once: 299 first dials over 3 s, no step in them.
+    let mut most = 0;
+    for at in 0..300_u64 {
+        most = most.max(dials.take(at * 10 * MS).len());
+    }
+    assert!(most <= 8, "{most} dials within 10 ms");
+    let mut now = 3_000 * MS;
+    let mut waits = Vec::new();
+    for _ in 0..12 {
+        dials.ended(now, PeerId(1));
+        let due = dials.due().expect("a dial");
+        waits.push((due - now) / MS);
+        now = due;
+        assert_eq!(dials.take(now), [PeerId(1)]);
+    }
+    assert!((5..=10).contains(&waits[0]), "{waits:?}");
+    assert!(waits[8..].iter().all(|wait| (500..=1000).contains(wait)), "{waits:?}");
+    dials.ended(now, PeerId(1));
+    dials.hint(now, PeerId(1));
+    assert_eq!(dials.take(now), [PeerId(1)], "a sign of life is followed at once");
+}
+
+#[test]
+fn what_links_may_hold_fits_the_process() {
+    for peers in [3, 9, 64, 256] {
+        let room = Room::of(peers, 2048, 192 << 20).expect("room");
+        let all = (peers + room.strangers) * (room.queue + 2 * room.message);
+        assert!(all <= (192 << 20) / 16, "{peers}: {all}");
+        assert!(room.descriptors <= 2048 / 4);
+    }
+    let few = Room::of(9, 40, 192 << 20).expect_err("too few");
+    assert_eq!(few, "9 peers want limits.sockets of at least 68, a quarter for them");
+    let little = Room::of(300, 4096, 32 << 20).expect_err("too little");
+    assert_eq!(little, "300 peers want more of limits.memory_mb");
+}
