Link several gatherers, and try them with faults between real processes

No test started two processes, and none knew of another.

Change: settings section fleet and log, edge/peers (sockets and bytes), JSON log lines, the lab (plans, relays, verdicts), twenty plan files. Off unless the operator's file says so. Not yet run through all plans.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -766,7 +766,8 @@
         // The router ends a query ahead of its time; this holds the promise should it ever not.
         while let Some(&(at, query)) = self.ends.first().filter(|(at, _)| *at <= now) {
             self.ends.remove(&(at, query));
-            tracing::error!("query ran out of time undecided");
+            let id = self.queries.get(&query).map(|open| &*open.ask.id);
+            tracing::error!(query = id, "query ran out of time undecided");
             others.extend(self.finish(query, Answer::Failed(Failure::TimeUp)));
             self.events.push(Event::Left(query));
         }
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -8,6 +8,7 @@
 use crate::discovery::{Discovery, News, Roster};
 use crate::front::{flight, http};
 use crate::lifecycle::{Lifecycle, Phase};
+use crate::peers::Peers;
 use crate::tls::Connector;
 use crate::token;
 use crate::upstream::flight::Terms;
@@ -36,15 +37,19 @@
 impl Room {
     /// Where Flight is set up, it has half of the memory, and the others share the rest.
     fn of(config: &Config, hosts: usize) -> Self {
-        let (sockets, flight) = (config.links.sockets, &config.flight);
+        // Links to other gatherers come first: they have a bounded part of both.
+        let (peers, of_memory) =
+            config.fleet.as_ref().map_or((0, 0), |(_, r)| (r.descriptors, config.memory / 16));
+        let (sockets, flight) = (config.links.sockets - peers, &config.flight);
+        let all = config.memory - of_memory;
         let offered = flight.listen.is_some() || flight.every_host || !flight.hosts.is_empty();
-        let memory = if offered { config.memory / 2 } else { config.memory };
+        let memory = if offered { all / 2 } else { all };
         let mut shares = Shares::of(Means { sockets, memory, hosts, a_client: http::LARGEST });
         if offered {
             shares.hosts = shares.hosts.min(memory / 4 / HOST_BYTES).max(1);
         }
         let streams = (shares.hosts * config.links.streams).min(config.bounds.max_open);
-        let limits = Limits::of(config.memory / 2, if offered { sockets } else { 0 }, streams);
+        let limits = Limits::of(all / 2, if offered { sockets } else { 0 }, streams);
         if flight.listen.is_some() {
             shares.clients = shares.clients.saturating_sub(limits.connections).max(1);
         }
@@ -66,6 +71,8 @@
     flight_listener: Option<Listener>,
     pool: Pool,
     discovery: Discovery,
+    /// The other gatherers, where the operator's file names any.
+    peers: Option<Peers>,
     roster: Roster,
     zones: Vec<String>,
     listener: Option<Listener>,
@@ -82,7 +89,7 @@
     ///
     /// # Errors
     /// One line that says what is wrong.
-    fn start(load: Load, handle: Handle) -> Result<Self, String> {
+    fn start(load: Load, handle: Handle, life: u64) -> Result<Self, String> {
         let config = load()?;
         let known = parse(&config.known).map_err(|e| format!("known: {e}"))?;
         let room = Room::of(&config, known.hosts.len());
@@ -107,6 +114,10 @@
             tls: config.flight.host_tls.as_ref().map(Connector::new).transpose()?,
         };
         let setup = flight::Setup { limits, settings: &config.flight, classes };
+        let peers = config.fleet.as_ref();
+        let peers =
+            peers.map(|(fleet, room)| Peers::start(clock.now(), &handle, (fleet, *room), life, config.seed));
+        let peers = peers.transpose()?;
         let mut gatherer = Self {
             clock,
             lifecycle: Lifecycle::default(),
@@ -116,6 +127,7 @@
             flight_listener,
             pool: Pool::new(config.links, config.flight.clone(), room.shares, terms),
             discovery: Discovery::new(config.discovery, known.generation),
+            peers,
             roster: Roster::default(),
             zones,
             listener: Some(listener),
@@ -136,11 +148,12 @@
         addr.map(|addr| addr.to_string()).map_err(|e| e.to_string())
     }
 
-    /// Runs a gatherer until it is told to end; `load` reads its configuration.
+    /// Runs a gatherer until it is told to end; `load` reads its configuration, and `life` is a number that no
+    /// other start has.
     ///
     /// # Errors
     /// One line that says what is wrong.
-    pub fn run(load: impl Fn() -> Result<Config, String> + 'static) -> Result<(), String> {
+    pub fn run(load: impl Fn() -> Result<Config, String> + 'static, life: u64) -> Result<(), String> {
         let mut events = EventLoop::<Gatherer>::try_new().map_err(|e| e.to_string())?;
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
         let signals = signals.map_err(|e| e.to_string())?;
@@ -149,7 +162,7 @@
             _ => gatherer.terminate(),
         };
         events.handle().insert_source(signals, told).map_err(|e| e.to_string())?;
-        let mut gatherer = Self::start(Box::new(load), Handle::new(events.handle()))?;
+        let mut gatherer = Self::start(Box::new(load), Handle::new(events.handle()), life)?;
         gatherer.lifecycle.ready();
         while gatherer.step() != Phase::Stopped {
             let wait = gatherer.due().map(|at| at.saturating_sub(gatherer.clock.now()));
@@ -167,6 +180,7 @@
             self.http.due(),
             self.flight.due(),
             self.lifecycle.due(),
+            self.peers.as_ref().and_then(Peers::due),
             self.resting,
         ];
         all.into_iter().flatten().min()
@@ -187,6 +201,9 @@
             self.http_accept();
             self.flight_accept();
         }
+        if let Some(peers) = &mut self.peers {
+            peers.expire(now, &self.handle);
+        }
         self.collect(now);
         for effect in self.core.turn(now) {
             self.effect(now, effect);
@@ -319,6 +336,9 @@
         self.lifecycle.terminate(now);
         self.http.enter(self.lifecycle.phase());
         self.flight.drain(now, &mut self.core);
+        if let Some(peers) = &mut self.peers {
+            peers.leave(now);
+        }
     }
 
     /// Clients wait to be accepted.
@@ -378,6 +398,10 @@
             token::HTTP => self.http.ready(now, id, &mut self.core),
             token::FLIGHT => self.flight.ready(now, id, &mut self.core),
             token::HOST => self.pool.ready(now, id),
+            token::PEER_LISTENER => {
+                self.peers.iter_mut().for_each(|peers| peers.accept(now, &self.handle));
+            }
+            token::PEER => self.peers.iter_mut().for_each(|peers| peers.ready(now, id)),
             _ => {
                 for news in self.discovery.ready(now, &self.handle) {
                     self.news(news);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod front;
 pub mod gatherer;
 pub mod lifecycle;
+pub mod peers;
 pub mod tls;
 pub mod upstream;
 pub mod wire;
@@ -16,4 +17,6 @@
     pub const HTTP: u8 = 3;
     pub const FLIGHT: u8 = 4;
     pub const HOST: u8 = 5;
+    pub const PEER_LISTENER: u8 = 6;
+    pub const PEER: u8 = 7;
 }
--- a/crates/mallowgauge/src/main.rs
+++ b/crates/mallowgauge/src/main.rs
@@ -3,24 +3,59 @@
 use std::process::ExitCode;
 
 use mallowgauge_edge::gatherer::Gatherer;
-use mallowgauge_settings::Config;
+use mallowgauge_settings::{Config, LogFormat};
+use tracing_subscriber::field::RecordFields;
+use tracing_subscriber::fmt::format::{debug_fn, Writer};
+use tracing_subscriber::fmt::FormatFields;
 
-fn run() -> Result<(), String> {
-    let mut arguments = std::env::args().skip(1);
-    let operator = arguments.next();
-    if arguments.next().is_some() {
-        return Err("usage: mallowgauge [OPERATOR-FILE]".to_owned());
+/// The fields of a line of text: what its words say. What only tools look for stands in JSON lines.
+struct Words;
+
+impl<'a> FormatFields<'a> for Words {
+    fn format_fields<R: RecordFields>(&self, writer: Writer<'a>, fields: R) -> std::fmt::Result {
+        let words = debug_fn(|writer, field, value| match field.name() {
+            "message" => write!(writer, "{value:?}"),
+            _ => Ok(()),
+        });
+        words.format_fields(writer, fields)
     }
-    Gatherer::run(move || Config::load(|name| std::env::var(name).ok(), operator.as_deref()))
+}
+
+/// A number that no other start has; without an operator's file nobody asks for it.
+fn life(operator: Option<&str>) -> Result<u64, String> {
+    operator.map_or(Ok(0), |_| getrandom::u64().map_err(|e| format!("no random numbers: {e}")))
+}
+
+fn run(operator: Option<String>, life: u64) -> Result<(), String> {
+    let load = move || Config::load(|name| std::env::var(name).ok(), operator.as_deref());
+    Gatherer::run(load, life)
 }
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_ansi(false).with_max_level(tracing::Level::INFO).init();
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            tracing::error!("cannot go on: {message}");
-            ExitCode::FAILURE
-        }
+    let mut arguments = std::env::args().skip(1);
+    let operator = arguments.next();
+    let life = if arguments.next().is_some() {
+        Err("usage: mallowgauge [OPERATOR-FILE]".to_owned())
+    } else {
+        life(operator.as_deref())
+    };
+    let lines = tracing_subscriber::fmt().with_ansi(false).with_max_level(tracing::Level::INFO);
+    let json = Config::log_format(operator.as_deref()) == LogFormat::Json;
+    if json {
+        lines.json().flatten_event(true).with_span_list(false).init();
+    } else {
+        lines.fmt_fields(Words).init();
+    }
+    // Each JSON line carries who wrote it; lines of text are as they always were.
+    let who = json.then(|| {
+        let name = Config::name(|name| std::env::var(name).ok()).unwrap_or_default();
+        let life = format!("{:08x}", life.as_ref().map_or(0, |life| life >> 32));
+        tracing::info_span!("gatherer", gatherer = name, life).entered()
+    });
+    let ended = life.and_then(|life| run(operator, life));
+    if let Err(message) = &ended {
+        tracing::error!("cannot go on: {message}");
     }
+    drop(who);
+    ended.map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS)
 }
--- a/crates/mallowgauge/tests/promises.rs
+++ b/crates/mallowgauge/tests/promises.rs
@@ -139,7 +139,8 @@
 // Guards the on-call page: every line that it lists is written by the program, and the other way round.
 #[test]
 fn the_on_call_page_lists_the_lines_that_are_logged() {
-    let macros = Regex::new(r#"tracing::(info|warn|error)!\(\s*"([^"]*)""#).expect("a pattern");
+    let macros =
+        Regex::new(r#"tracing::(info|warn|error)!\(\s*(?:query = \w+,\s*)?"([^"]*)""#).expect("a pattern");
     let holes = Regex::new(r"\{[^}]*\}").expect("a pattern");
     let mut written = BTreeSet::new();
     // The programs that serve; what only tests and tools write is not on the page.
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -4,9 +4,11 @@
 
 use serde_json::Value;
 
-use crate::operator::{self, Flight, Operator};
+use crate::fleet::Fleet;
+use crate::operator::{self, Flight, LogFormat, Operator};
 use crate::site::{Section, Site};
 use mallowgauge_core::{Bounds, PhasesSetup};
+use mallowgauge_fleet::links::Room;
 use mallowgauge_router::Micros;
 
 /// Figures for connections.
@@ -50,6 +52,8 @@
     pub flight: Flight,
     /// Queries in two phases, where they are taken.
     pub phases: Option<PhasesSetup>,
+    /// The other gatherers, and what links to them may hold.
+    pub fleet: Option<(Fleet, Room)>,
 }
 
 /// Silence on a connection is told from slowness after this share of the shortest aim.
@@ -74,8 +78,35 @@
     /// One line that says what is wrong.
     pub fn load(variable: impl Fn(&str) -> Option<String>, operator: Option<&str>) -> Result<Self, String> {
         let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-        let operator = operator.map_or(Ok(Operator::default()), |path| operator::read(&file(path)?, path))?;
-        Self::read(&file(&path)?, variable, operator).map_err(|e| format!("{path}: {e}"))
+        let all = file(&path)?;
+        let own = own_name(&all, &variable);
+        let read = |path| operator::read(&file(path)?, path, own.as_deref());
+        let mut operator = operator.map_or_else(|| Ok(Operator::default()), |path| read(path))?;
+        let fleet = operator.fleet.take();
+        let mut config = Self::read(&all, variable, operator).map_err(|e| format!("{path}: {e}"))?;
+        if let Some(fleet) = fleet {
+            let room = fleet.room(config.links.sockets, config.memory);
+            let room = room.map_err(|e| format!("{path}: fleet.peers.list is too long: {e}"))?;
+            config.fleet = Some((fleet, room));
+        }
+        Ok(config)
+    }
+
+    /// What the platform calls this gatherer, as far as its file can be read.
+    #[must_use]
+    pub fn name(variable: impl Fn(&str) -> Option<String>) -> Option<String> {
+        own_name(&file(&variable("RELAY_CONFIG")?).ok()?, variable)
+    }
+
+    /// How the log is to be written, as far as the operator's file can be read; what is wrong with it is said
+    /// by [`Config::load`].
+    #[must_use]
+    pub fn log_format(operator: Option<&str>) -> LogFormat {
+        let log = |path| file(path).ok()?.get("log")?.get("format")?.as_str().map(str::to_owned);
+        match operator.and_then(log).as_deref() {
+            Some("json") => LogFormat::Json,
+            _ => LogFormat::Text,
+        }
     }
 
     fn read(
@@ -133,10 +164,15 @@
             site,
             flight: operator.flight,
             phases: operator.phases,
+            fleet: None,
         })
     }
 }
 
+fn own_name(all: &Value, variable: impl Fn(&str) -> Option<String>) -> Option<String> {
+    all.get("name").and_then(Value::as_str).map(str::to_owned).or_else(|| variable("RELAY_NAME"))
+}
+
 fn file(path: &str) -> Result<Value, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
     serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -5,13 +5,15 @@
 //!             "key": "flight.key", "users": "users.txt", "ticket_s": 600, "token_s": 3600,
 //!             "tls": {"certificate": "cert.pem", "key": "key.pem", "client_ca": "clients.pem"},
 //!             "host_tls": {"ca": "hosts.pem", "name": "hosts.example", "certificate": "us.pem", "key": "us.key"}},
-//!  "phases": {"rule": "learned", "sketches": 10000, "sketch_ms": 2000}}
+//!  "phases": {"rule": "learned", "sketches": 10000, "sketch_ms": 2000},
+//!  "fleet": {}, "log": {"format": "json"}}
 //! ```
 //!
-//! `"hosts": "all"` names every host. Files are named from the folder of the operator's own.
+//! What `fleet` holds stands in [`crate::Fleet`]'s module. `"hosts": "all"` names every host. Files are named from the folder of the operator's own.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 use mallowgauge_core::phases::{Rule, SketchBounds};
@@ -20,6 +22,7 @@
 use serde_json::{Map, Value};
 
 use crate::config::address;
+use crate::fleet::Fleet;
 
 /// A front's certificate.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -95,6 +98,29 @@
     pub flight: Flight,
     /// Queries in two phases; not taken where there is none.
     pub phases: Option<PhasesSetup>,
+    /// The gatherers that are linked to each other; none where there is none.
+    pub fleet: Option<Fleet>,
+    /// How the log is written.
+    pub log: LogFormat,
+}
+
+/// How the log is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines of text.
+    #[default]
+    Text,
+    /// A JSON object a line, with the gatherer's name and life.
+    Json,
+}
+
+fn log(section: &Value, path: &str) -> Result<LogFormat, String> {
+    let part = Part::new(section, path, "log", &["format"])?;
+    match part.text("format")? {
+        None | Some("text") => Ok(LogFormat::Text),
+        Some("json") => Ok(LogFormat::Json),
+        Some(_) => Err(part.bad("format", "is neither \"text\" nor \"json\"")),
+    }
 }
 
 /// Sketches are kept within these bounds where nothing else is said.
@@ -125,14 +151,19 @@
 }
 
 /// A section of the file, with its place in words.
-struct Part<'a> {
+pub(crate) struct Part<'a> {
     fields: &'a Map<String, Value>,
     path: &'a str,
     name: &'static str,
 }
 
 impl<'a> Part<'a> {
-    fn new(value: &'a Value, path: &'a str, name: &'static str, known: &[&str]) -> Result<Self, String> {
+    pub(crate) fn new(
+        value: &'a Value,
+        path: &'a str,
+        name: &'static str,
+        known: &[&str],
+    ) -> Result<Self, String> {
         let fields = value.as_object().ok_or_else(|| format!("{path}: {name} is not an object"))?;
         if let Some(key) = fields.keys().find(|key| !known.contains(&key.as_str())) {
             return Err(format!("{path}: {name}.{key} is not known; there is {}", known.join(", ")));
@@ -140,11 +171,11 @@
         Ok(Self { fields, path, name })
     }
 
-    fn bad(&self, key: &str, what: &str) -> String {
+    pub(crate) fn bad(&self, key: &str, what: &str) -> String {
         format!("{}: {}.{key} {what}", self.path, self.name)
     }
 
-    fn text(&self, key: &str) -> Result<Option<&'a str>, String> {
+    pub(crate) fn text(&self, key: &str) -> Result<Option<&'a str>, String> {
         match self.fields.get(key) {
             None | Some(Value::Null) => Ok(None),
             Some(Value::String(text)) => Ok(Some(text)),
@@ -163,6 +194,24 @@
         self.file(key)?.ok_or_else(|| self.bad(key, "is missing"))
     }
 
+    pub(crate) fn value(&self, key: &str) -> Option<&'a Value> {
+        self.fields.get(key).filter(|value| !value.is_null())
+    }
+
+    /// A whole number; `usual` where there is none, or else it has to be there.
+    pub(crate) fn number(
+        &self,
+        key: &str,
+        usual: Option<u64>,
+        range: RangeInclusive<u64>,
+    ) -> Result<u64, String> {
+        let value = self.value(key).map_or(usual, Value::as_u64).filter(|n| range.contains(n));
+        value.ok_or_else(|| {
+            let (least, most) = range.into_inner();
+            self.bad(key, &format!("is not a whole number from {least} to {most}"))
+        })
+    }
+
     fn seconds(&self, key: &str, usual: u64) -> Result<Micros, String> {
         let value = self.fields.get(key).map_or(Some(usual), Value::as_u64);
         let value = value.filter(|s| (1..=LONGEST_S).contains(s));
@@ -172,16 +221,18 @@
     }
 }
 
-/// Reads the operator's file.
+/// Reads the operator's file; `name` is what the platform calls this gatherer.
 ///
 /// # Errors
 /// One line that names the file, the key and what is wrong.
-pub fn read(all: &Value, path: &str) -> Result<Operator, String> {
-    let whole = Part::new(all, path, "the file", &["flight", "phases"])?;
+pub fn read(all: &Value, path: &str, name: Option<&str>) -> Result<Operator, String> {
+    let whole = Part::new(all, path, "the file", &["flight", "phases", "fleet", "log"])?;
     let section = |key: &str| whole.fields.get(key).filter(|value| !value.is_null());
     let flight = section("flight").map_or(Ok(Flight::default()), |value| flight(value, path))?;
     let phases = section("phases").map(|value| phases(value, path)).transpose()?;
-    Ok(Operator { flight, phases })
+    let fleet = section("fleet").map(|value| Fleet::read(value, path, name)).transpose()?;
+    let log = section("log").map_or(Ok(LogFormat::Text), |value| log(value, path))?;
+    Ok(Operator { flight, phases, fleet, log })
 }
 
 fn flight(section: &Value, path: &str) -> Result<Flight, String> {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod plain;
 pub mod raw;
 pub mod tls;
+pub mod trial;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
--- /dev/null
+++ b/crates/testkit/src/trial/mod.rs
@@ -0,0 +1,41 @@
+//! What a trial of several processes stands on: relays between them, hosts and discovery that each process has
+//! an address of its own for, clients, and the rules that are held against what all of these saw.
+
+pub mod clients;
+pub mod discovery;
+pub mod hosts;
+pub mod relay;
+pub mod rules;
+pub mod strangers;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// What everybody in a trial writes down, on one clock.
+#[derive(Clone)]
+pub struct Notebook {
+    start: Instant,
+    history: Arc<Mutex<rules::History>>,
+}
+
+impl Default for Notebook {
+    fn default() -> Self {
+        Self { start: Instant::now(), history: Arc::default() }
+    }
+}
+
+impl Notebook {
+    /// Microseconds since the trial began.
+    pub fn now(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+
+    pub fn history(&self) -> MutexGuard<'_, rules::History> {
+        held(&self.history)
+    }
+}
+
+/// A lock whose holder may have failed: what it guards is read all the same, for the verdict.
+pub fn held<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(PoisonError::into_inner)
+}
