--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -30,6 +30,9 @@
 /// A connection that was said goodbye to is kept for so long, so that the words can be read.
 const PARTING: Micros = 200_000;
 
+/// Bytes that the system may hold for a peer that does not read them.
+const IN_SOCKET: usize = 32 * 1024;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     /// The dial is under way.
@@ -292,6 +295,7 @@
     fn add(&mut self, now: Micros, stream: Stream, phase: Phase, dialed: Option<PeerId>) -> u64 {
         let id = self.next;
         self.next += 1;
+        stream.hold_back(IN_SOCKET);
         let (queue, intake) = (Queue::new(self.room.queue), Intake::new(now, self.room.a_second));
         let (input, half, stuck, again) = (Vec::new(), None, None, None);
         let life = Incarnation::default();
@@ -490,10 +494,15 @@
         let name: String = hello.name.chars().filter(|c| !c.is_control()).take(40).collect();
         self.tell_of(&name, refusal.to_string());
         let dialed = self.links.get(&id).and_then(|link| link.dialed);
+        if dialed.is_none() && matches!(refusal, Refusal::Version(_) | Refusal::List(_) | Refusal::Names) {
+            // The other side judges for itself, and its operator reads of it there, too.
+            let hello = self.register.hello(&self.members.own(), None);
+            self.say(now, id, &Said::Hello(hello));
+        }
+        self.part(now, id, &refusal.to_string());
         if let (Some(peer), false) = (dialed, refusal.passes()) {
             self.dials.refused(now, peer);
         }
-        self.part(now, id, &refusal.to_string());
     }
 
     fn part(&mut self, now: Micros, id: u64, words: &str) {
@@ -544,14 +553,12 @@
             Phase::Up(peer) => Some(peer),
             _ => link.dialed,
         }?;
-        if let Some(dialed) = link.dialed {
-            self.dials.ended(now, dialed);
-        }
         let held = &mut self.of[usize::from(peer.0)];
         if held.is_some_and(|held| held != id) {
             return Some(peer);
         }
         *held = None;
+        self.dials.ended(now, peer);
         self.members.unlinked(now, peer, broken);
         Some(peer)
     }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -379,11 +379,20 @@
         if self.name == Name::Fresh {
             self.name = Name::Held;
         }
+        let me = self.me;
         if let Some(entry) = self.entry(hello.about) {
             (entry.linked, entry.broken, entry.deaf) = (true, false, 0);
+            // A doubt of one's own that rested on the broken link is over; others' begin to count anew.
+            entry.doubters.remove(&me);
+            entry.doubted = now;
         }
         self.learn(now, hello);
         self.answer_doubt(now, hello.about);
+        if self.round > 0 {
+            // What this side refuted after its hello was written.
+            let claims = vec![self.own()];
+            self.send(hello.about, Message::Tell { claims });
+        }
     }
 
     /// A link ended, or could not be had: a sign, and a reason to ask others at once. `broken` where it was
@@ -443,7 +452,17 @@
                     self.unreached(now, seq);
                 }
             }
-            Message::Tell { claims } => self.learn_all(now, &claims),
+            Message::Tell { claims } => {
+                let outdated =
+                    |c: &Claim| c.about == self.me && c.state > State::Alive && c.key() < self.own().key();
+                let outdated = claims.iter().any(outdated);
+                self.learn_all(now, &claims);
+                if outdated {
+                    // The refutation has not come that far.
+                    let claims = vec![self.own()];
+                    self.send(from, Message::Tell { claims });
+                }
+            }
         }
         self.answer_doubt(now, from);
     }
@@ -622,7 +641,10 @@
             }
             return;
         }
-        if claim.incarnation < self.incarnation {
+        // Before it is a member the number always grows, whichever nonce is the higher one: a later life can be
+        // told by its number alone.
+        let earlier = self.name == Name::Fresh && claim.incarnation.number >= self.incarnation.number;
+        if claim.incarnation < self.incarnation && !earlier {
             return;
         }
         // Another process has this name, in a life that counts as later than this one.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -252,6 +252,12 @@
         (&*self.socket).read(buffer)
     }
 
+    /// Lets the system hold about so many bytes at most that the other side has not taken.
+    pub fn hold_back(&self, bytes: usize) {
+        // Where it cannot be set, the system's own bound holds.
+        let _ = socket2::SockRef::from(&*self.socket).set_send_buffer_size(bytes);
+    }
+
     /// Says to the other side that nothing more will be written.
     pub fn finish(&self) {
         // An error means that the other side has gone already.
--- a/crates/testkit/src/trial/strangers.rs
+++ b/crates/testkit/src/trial/strangers.rs
@@ -111,6 +111,8 @@
 /// did not close.
 pub async fn play(addr: SocketAddr, act: Act, guise: &Guise, most: Duration) -> io::Result<Option<usize>> {
     let mut socket = TcpStream::connect(addr).await?;
+    // What is not read fills little.
+    socket2::SockRef::from(&socket).set_recv_buffer_size(4096)?;
     let question = |seq| framed(&Ping { ping: Some(Question { seq }) }.encode_to_vec());
     let sound = guise.hello(1, &guise.name);
     let first = match act {
