--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -476,6 +476,11 @@
     Who::One("all".to_owned())
 }
 
+/// A share up to a half that JSON gives back as it is.
+fn hundredths(rng: &mut fastrand::Rng) -> f64 {
+    f64::from(rng.u32(0..=50)) / 100.0
+}
+
 fn random_fault(rng: &mut fastrand::Rng, processes: usize) -> Between {
     let name = |at: usize| format!("n{}", at + 1);
     let some = |rng: &mut fastrand::Rng| {
@@ -491,7 +496,7 @@
         2 => Fault { hold: true, ..none },
         3 => Fault { delay_ms: rng.u64(1..400), ..none },
         4 => Fault { jitter_ms: rng.u64(1..300), ..none },
-        5 => Fault { lose: rng.f64() / 2.0, twice: rng.f64() / 2.0, ..none },
+        5 => Fault { lose: hundredths(rng), twice: hundredths(rng), ..none },
         6 => Fault { bytes_a_second: rng.u64(50..2000), ..none },
         _ => Fault { reset_at: Some(rng.u64(0..500)), ..none },
     };
--- a/crates/mallowgauge/tests/promises.rs
+++ b/crates/mallowgauge/tests/promises.rs
@@ -1,6 +1,7 @@
 //! What the documents promise, held against what the program does.
 
 use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader};
 use std::net::TcpStream;
 use std::path::Path;
 use std::rc::Rc;
@@ -227,6 +228,81 @@
     "#);
 }
 
+// Guards the section `fleet`: what makes no sense ends the start with one line that names the key.
+#[test]
+fn a_bad_fleet_is_one_clear_line() {
+    let none = "127.0.0.1:1".parse().expect("an address");
+    let sound = config(&[none; HOSTS], none);
+    let mut said = Vec::new();
+    let mut start = |path: &str, value: Value| {
+        let mut fleet = json!({"fleet": document("deploy/fleet.json")["fleet"]});
+        match path.rsplit_once('/') {
+            Some((above, key)) if fleet.pointer(above).is_some_and(Value::is_object) => {
+                fleet.pointer_mut(above).expect("an object")[key] = value;
+            }
+            _ => *fleet.pointer_mut(path).expect("a place") = value,
+        }
+        let output = spawn(&sound, &fleet, 1024).0.wait_with_output().expect("an end");
+        let log = String::from_utf8(output.stdout).expect("text");
+        assert_eq!(log.lines().count(), 1, "{log}");
+        let words = log.trim().split_once("cannot go on: ").expect("the reason").1;
+        let words = words.split_once(".json: ").expect("the file").1;
+        said.push(format!("{:?} {words}", output.status.code()));
+    };
+    let again = json!({"name": "n9", "address": "127.0.0.1:7401"});
+    let far = json!({"name": "n9", "address": "192.0.2.1:7401"});
+    start("/fleet/name", json!("n9"));
+    start("/fleet/nmae", json!("n1"));
+    start("/fleet/peers/version", json!(0));
+    start("/fleet/peers/list", json!([]));
+    start("/fleet/peers/list/2", again);
+    start("/fleet/peers/list/2", json!({"name": "n1", "address": "127.0.0.1:7409"}));
+    start("/fleet/peers/list/2", json!({"name": "n3"}));
+    start("/fleet/peers/list/2", far);
+    start("/fleet/group", json!(2));
+    start("/fleet/group", json!(5));
+    start("/fleet/pace", json!({"probe_ms": 1}));
+    start("/fleet/bounds", json!({"queue_kb": 1}));
+    start("/fleet/listen", json!("nowhere"));
+    assert_snapshot!(said.join("\n"), @r#"
+    Some(1) fleet.name is "n9", not in the list
+    Some(1) fleet.nmae is not known; there is name, listen, peers, group, anywhere, pace, bounds
+    Some(1) fleet.peers.version is not a whole number from 1 to 4294967295
+    Some(1) fleet.peers.list holds 0, not 1 to 512 peers
+    Some(1) fleet.peers.list.address of entry 2 is 127.0.0.1:7401, which an entry before it has
+    Some(1) fleet.peers.list.name of entry 2 is "n1", which an entry before it has
+    Some(1) fleet.peers.list.address of entry 2 is missing
+    Some(1) fleet.peers.list.address of entry 2 is 192.0.2.1:7401, neither loopback nor private; links are neither signed nor encrypted, "anywhere": true allows it all the same
+    Some(1) fleet.group is 2, not an odd number
+    Some(1) fleet.group is 5, larger than the list of 3
+    Some(1) fleet.pace.probe_ms is not a whole number from 10 to 60000
+    Some(1) fleet.bounds.queue_kb is not a whole number from 16 to 1000000
+    Some(1) fleet.listen nowhere is not an address with a port
+    "#);
+}
+
+// Guards the example of the section, and JSON lines: each says who wrote it.
+#[test]
+fn the_example_of_a_fleet_starts_and_its_lines_say_who_wrote_them() {
+    let none = "127.0.0.1:1".parse().expect("an address");
+    let example = document("deploy/fleet.json");
+    let (mut child, _) = spawn(&config(&[none; HOSTS], none), &example, 1024);
+    let lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
+    let mut said = Vec::new();
+    for line in lines {
+        let line: Value = serde_json::from_str(&line.expect("text")).expect("JSON");
+        assert_eq!(line["span"]["gatherer"], "n1", "{line}");
+        assert!(line["span"]["life"].as_str().is_some_and(|life| life.len() == 8), "{line}");
+        said.push(line["message"].as_str().expect("words").to_owned());
+        if said.last().is_some_and(|words| words.contains("Starting -> Serving")) {
+            break;
+        }
+    }
+    child.kill().expect("a process");
+    child.wait().expect("an end");
+    assert!(said.iter().any(|words| words.contains("as n1 of 3 in list 1")), "{said:#?}");
+}
+
 // Guards the event loop where descriptors run out: it neither ends nor spins, and goes on when it can.
 #[test]
 fn a_crowd_beyond_the_descriptors_is_survived() {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -76,7 +76,7 @@
         };
         let list = section.get("peers").ok_or_else(|| part.bad("peers", "is missing"))?;
         let list = Part::new(list, path, "fleet.peers", &["version", "list"])?;
-        let version = list.number("version", None, 1..=u64::MAX)?;
+        let version = list.number("version", None, 1..=u32::MAX.into())?;
         let entries = list.value("list").and_then(Value::as_array);
         let entries = entries.ok_or_else(|| list.bad("list", "is not a list of peers"))?;
         if entries.is_empty() || entries.len() > MOST {
