See every rule of the trials fail on what is planted

Cause: processes hold some 14 descriptors, and the planted bound was 16 (descriptors / 32 in trial.rs).

Change: a sixty-fourth.

--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -89,7 +89,7 @@
     LostAnswers,
     /// A process is killed, and the trial does not know.
     SecretKill,
-    /// The verdict allows each process a thirty-second of the descriptors that it was told.
+    /// The verdict allows each process a sixty-fourth of the descriptors that it was told.
     TightLimits,
 }
 
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -101,7 +101,7 @@
         cold: plan.limits.cold_parts,
         warm: WARM,
         memory: u64::from(plan.limits.memory_mb) << 20,
-        descriptors: u64::from(plan.limits.descriptors) / if tight { 32 } else { 1 },
+        descriptors: u64::from(plan.limits.descriptors) / if tight { 64 } else { 1 },
     };
     let mut answers = BTreeMap::new();
     for asked in &history.asked {
