--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -334,6 +334,62 @@
     assert_eq!(orders.iter().filter(told).count(), 988, "who is not asked for is told so");
 }
 
+/// A process that is linked to two others, 1 and 2.
+fn of_three() -> (Members, [Claim; 2]) {
+    let mut members = Members::new(0, peer(0), 3, 1, Pace::default(), 7);
+    let hello = |at: usize| Members::new(0, peer(at), 3, 5, Pace::default(), 7).own();
+    let hellos = [hello(1), hello(2)];
+    hellos.iter().for_each(|hello| members.linked(0, *hello));
+    members.orders();
+    (members, hellos)
+}
+
+fn doubt(of: Claim, by: usize, grade: Grade) -> Claim {
+    Claim { state: State::Doubted, by: peer(by), grade, ..of }
+}
+
+#[test]
+fn who_was_late_itself_holds_no_doubt_against_others_for_that_time() {
+    let (mut members, [one, _]) = of_three();
+    members.learn(10, doubt(one, 2, Grade::Silence));
+    // It was halted for a minute; nobody could tell it anything.
+    members.tick(60_000 * MS);
+    assert_eq!(members.state(peer(1)), Some(State::Doubted));
+    assert_eq!(members.strain(), 1);
+    let due = members.due().expect("something");
+    assert!(due > 60_000 * MS, "its waits begin anew");
+}
+
+#[test]
+fn who_is_linked_again_is_told_of_the_doubt_and_not_lost_by_it() {
+    let (mut members, [one, _]) = of_three();
+    members.unlinked(10, peer(1), true);
+    members.learn(20, doubt(one, 2, Grade::Broken));
+    members.orders();
+    members.linked(30 * MS, one);
+    let told = |o: &Order| {
+        matches!(o, Order::Send(to, Message::Tell { claims })
+        if *to == peer(1) && claims.iter().any(|c| c.about == peer(1) && c.state == State::Doubted))
+    };
+    assert!(members.orders().iter().any(told));
+    // Both had seen its links break: without the new one it would be gone by now.
+    members.tick(60 * MS);
+    assert_eq!(members.state(peer(1)), Some(State::Doubted));
+}
+
+#[test]
+fn who_has_left_is_asked_nothing() {
+    let (mut members, [one, _]) = of_three();
+    members.learn(10, Claim { state: State::Left, ..one });
+    let mut now = 0;
+    for _ in 0..50 {
+        now = members.due().expect("a question").max(now);
+        members.tick(now);
+        let asked = |o: &Order| matches!(o, Order::Send(to, Message::Ping { .. }) if *to == peer(1));
+        assert!(!members.orders().iter().any(asked));
+    }
+}
+
 fn claims() -> impl Strategy<Value = Vec<Claim>> {
     let state = prop_oneof![Just(State::Alive), Just(State::Doubted), Just(State::Gone), Just(State::Left)];
     let grade = prop_oneof![Just(Grade::Silence), Just(Grade::Broken)];
