--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What people do here, by name.
-.PHONY: build test lint run demo demo-flight bench-flight bench-phases test-phases
+.PHONY: build test lint run demo demo-flight bench-flight bench-phases test-phases trial trial-long trial-figures
 
 build:
 	cargo build --release --locked
@@ -36,3 +36,19 @@
 # The plan against its model, in 100,000 random cases.
 test-phases:
 	PHASES_CASES=100000 cargo test --release --locked -p mallowgauge-core --test phases
+
+# Several real processes with faults between them: every plan file; takes about two minutes.
+trial: build
+	cargo build --release --locked -q -p mallowgauge-lab
+	target/release/mallowgauge-lab fleet run trials
+
+# Plans from 200 seeds, five processes each.
+trial-long: build
+	cargo build --release --locked -q -p mallowgauge-lab
+	target/release/mallowgauge-lab fleet replay 1 --count 200 --jobs 4
+
+# How soon a loss is known, what an idle fleet sends, what the section costs; wants an idle machine.
+trial-figures: build
+	cargo build --release --locked -q -p mallowgauge-lab
+	target/release/mallowgauge-lab fleet measure
+	target/release/mallowgauge-lab fleet cost
