--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,4 @@
 # The register of a query under every order of events: a fleet of one owner and a rival whole, others by random walks.
 test-register:
 	REGISTER_WALKS=200 cargo test --release --locked -p mallowgauge-fleet --test register_model -- --include-ignored --nocapture
+	TAKEOVER_SEEDS=20000 cargo test --release --locked -p mallowgauge-fleet --test takeover
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod links;
 pub mod members;
 pub mod register;
+pub mod takeover;
 
 /// Microseconds on a clock that does not run backwards; only differences count.
 pub type Micros = u64;
--- a/crates/fleet/src/register.rs
+++ b/crates/fleet/src/register.rs
@@ -44,6 +44,9 @@
     pub by: PeerId,
     /// In which life.
     pub life: Incarnation,
+    /// Which of the ballots that this life of it has made: one that asks for the same id again, after it had
+    /// done with it, must not be taken for who it was.
+    pub turn: u64,
 }
 
 /// An attempt of a part. It names its ballot: two that act one after the other may both count an attempt 0, and
@@ -73,11 +76,28 @@
     pub outcome: Option<(Ballot, Arc<[u8]>)>,
     /// The outcome is known to be with a majority.
     pub settled: bool,
+    /// Who has the promise does nothing under it any more, and said so.
+    pub left: bool,
+    /// When it was opened, in keepers' lives and epochs.
+    pub opened: Opened,
 }
 
 /// Lives of keepers that a word counts on.
 pub type Lives = BTreeMap<PeerId, Incarnation>;
 
+/// Epochs of keepers.
+pub type Epochs = BTreeMap<PeerId, u64>;
+
+/// When an id was opened, as far as its keepers can tell: in which lives and epochs of theirs. One of them that
+/// holds nothing of the id, and is in another life or a later epoch, may have forgotten it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Opened {
+    /// Their lives.
+    pub lives: Lives,
+    /// Their epochs.
+    pub epochs: Epochs,
+}
+
 /// What is written, all of it each time, so that a copy or an old one does no harm.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Written {
@@ -87,6 +107,8 @@
     pub voids: BTreeSet<Mark>,
     /// How it ended.
     pub outcome: Option<Arc<[u8]>>,
+    /// Nothing more is done under this ballot.
+    pub left: bool,
 }
 
 /// From who acts for an id to a keeper.
@@ -98,10 +120,10 @@
         id: Id,
         /// The ballot.
         ballot: Ballot,
-        /// Counts the ids that this life of its owner opens: what is not above those forgotten is not new.
-        number: u64,
         /// The lives that it counts on.
         lives: Lives,
+        /// Each keeper's epoch, as it was known when the id was asked.
+        epochs: Epochs,
         /// What was asked.
         asked: Arc<[u8]>,
         /// What is written with it.
@@ -128,6 +150,8 @@
         id: Id,
         /// The ballot.
         ballot: Ballot,
+        /// When the id was opened.
+        opened: Opened,
     },
     /// The outcome is with a majority: it may be told to whoever asks, and the record is only kept for that.
     Settled {
@@ -236,6 +260,8 @@
     pub life: Incarnation,
     /// The life of the one that it is for; another one passes it by.
     pub to: Incarnation,
+    /// In which epoch.
+    pub epoch: u64,
     /// It remembers all that it ever promised.
     pub whole: bool,
     /// What it holds of ids that the other keeps as well.
@@ -283,16 +309,19 @@
     started: Micros,
     records: BTreeMap<Id, Record>,
     bytes: usize,
-    /// Settled ids, oldest first, with the time.
-    settled: Vec<(Micros, Id)>,
+    /// Settled ids, oldest first, with the epoch in which they were.
+    settled: Vec<(u64, Id)>,
     /// The latest lives that others have told.
     lives: Lives,
     /// From whom it was heard in this life what they hold, and whether they were whole.
     met: BTreeMap<PeerId, bool>,
-    /// The highest number of an owner's ids that was forgotten here.
-    floors: BTreeMap<PeerId, (Incarnation, u64)>,
-    /// The number under which each id was opened here.
-    numbers: BTreeMap<Id, (PeerId, Incarnation, u64)>,
+    /// Counts the times at which something may have been forgotten. What ended in an epoch is kept for the whole
+    /// next one, and an opening that knew of an epoch before the last one is refused: so an id that was
+    /// forgotten is never taken for a new one, however late what opens it comes. A clock chooses when an epoch
+    /// ends, and a process that was paused ends one, not several.
+    epoch: u64,
+    /// When this one began.
+    since: Micros,
 }
 
 impl Keeper {
@@ -318,8 +347,8 @@
             settled: Vec::new(),
             lives: Lives::new(),
             met: BTreeMap::new(),
-            floors: BTreeMap::new(),
-            numbers: BTreeMap::new(),
+            epoch: 0,
+            since: now,
         }
     }
 
@@ -389,23 +418,30 @@
         let shared = |id: &str| keepers(id, self.peers, self.group).contains(&peer);
         let records = self.records.iter().filter(|(id, _)| shared(id));
         let records = records.map(|(id, record)| (Arc::clone(id), record.clone())).collect();
-        Meeting { from: self.me, life: self.life, to: *known, whole: self.is_whole(now), records }
+        Meeting {
+            from: self.me,
+            life: self.life,
+            to: *known,
+            epoch: self.epoch,
+            whole: self.is_whole(now),
+            records,
+        }
     }
 
     /// What another holds has come.
-    pub fn met(&mut self, now: Micros, meeting: Meeting) {
+    pub fn met(&mut self, meeting: Meeting) {
         if meeting.to != self.life {
             return;
         }
         for (id, theirs) in meeting.records {
-            self.learn(now, id, theirs);
+            self.learn(id, theirs);
         }
         let whole = self.met.entry(meeting.from).or_insert(false);
         *whole |= meeting.whole;
     }
 
     /// Adds what another held to what is held here. Facts add up; of promises the highest counts.
-    fn learn(&mut self, now: Micros, id: Id, theirs: Record) {
+    fn learn(&mut self, id: Id, theirs: Record) {
         let settled = theirs.settled;
         match self.records.get_mut(&id) {
             None => {
@@ -414,7 +450,9 @@
             }
             Some(ours) => {
                 let before = size(ours);
-                ours.promised = ours.promised.max(theirs.promised);
+                if theirs.promised > ours.promised {
+                    (ours.promised, ours.left) = (theirs.promised, theirs.left);
+                }
                 ours.intents.extend(&theirs.intents);
                 ours.voids.extend(&theirs.voids);
                 if !ours.settled {
@@ -425,19 +463,19 @@
             }
         }
         if settled {
-            self.settled.push((now, id));
+            self.settled.push((self.epoch, id));
         }
     }
 
     /// An order comes; the word on it goes back.
     pub fn order(&mut self, now: Micros, order: Order) -> Option<Word> {
         match order {
-            Order::Open { id, ballot, number, lives, asked, written, version } => {
+            Order::Open { id, ballot, lives, epochs, asked, written, version } => {
                 if let Some(why) = self.outlived(&lives) {
                     return Some(self.abstain(id, ballot, why));
                 }
                 if let Some(record) = self.records.get(&id) {
-                    if record.promised != ballot {
+                    if record.promised != ballot || record.settled {
                         return Some(Word::Held { id, refused: ballot, record: record.clone() });
                     }
                     return Some(self.write(id, ballot, &written, version));
@@ -445,20 +483,27 @@
                 if !self.remembers(now, &id) {
                     return Some(self.abstain(id, ballot, Abstains::Forgetful));
                 }
-                // What was forgotten here, and comes again on a slow way, is not new.
-                let floor = self.floors.get(&ballot.by);
-                if floor.is_some_and(|floor| *floor >= (ballot.life, number)) {
+                // What was asked before something was forgotten here, and comes on a slow way, may be among that.
+                let opened = Opened { lives, epochs };
+                if self.may_have_forgotten(&opened) {
                     return Some(self.abstain(id, ballot, Abstains::Unknown));
                 }
-                if !self.make_room(now, asked.len()) {
+                if !self.has_room(asked.len()) {
                     return Some(self.abstain(id, ballot, Abstains::Full));
                 }
                 let (intents, voids) = (BTreeSet::new(), BTreeSet::new());
-                let record =
-                    Record { promised: ballot, asked, intents, voids, outcome: None, settled: false };
+                let record = Record {
+                    promised: ballot,
+                    asked,
+                    intents,
+                    voids,
+                    outcome: None,
+                    settled: false,
+                    left: false,
+                    opened,
+                };
                 self.bytes += size(&record);
                 self.records.insert(Arc::clone(&id), record);
-                self.numbers.insert(Arc::clone(&id), (ballot.by, ballot.life, number));
                 Some(self.write(id, ballot, &written, version))
             }
             Order::Write { id, ballot, lives, written, version } => {
@@ -473,30 +518,41 @@
                     Some(_) => Some(self.write(id, ballot, &written, version)),
                 }
             }
-            Order::Take { id, ballot } => {
+            Order::Take { id, ballot, opened } => {
                 if !self.remembers(now, &id) {
                     return Some(self.abstain(id, ballot, Abstains::Forgetful));
                 }
-                let life = self.life;
+                let (life, forgot) = (self.life, self.may_have_forgotten(&opened));
                 match self.records.get_mut(&id) {
                     Some(record) if record.promised > ballot => {
                         let record = record.clone();
                         Some(Word::Held { id, refused: ballot, record })
                     }
                     Some(record) => {
+                        record.left &= record.promised == ballot;
                         record.promised = ballot;
                         let record = Some(record.clone());
                         Some(Word::Promised { id, ballot, life, record })
                     }
+                    // To promise that nothing was written here, it has to know that.
+                    None if forgot => Some(self.abstain(id, ballot, Abstains::Unknown)),
                     None => {
-                        if !self.make_room(now, 0) {
+                        if !self.has_room(0) {
                             return Some(self.abstain(id, ballot, Abstains::Full));
                         }
                         // Nothing was written here, and nothing will be under a lower ballot.
                         let (intents, voids) = (BTreeSet::new(), BTreeSet::new());
                         let asked: Arc<[u8]> = Arc::from([]);
-                        let promised =
-                            Record { promised: ballot, asked, intents, voids, outcome: None, settled: false };
+                        let promised = Record {
+                            promised: ballot,
+                            asked,
+                            intents,
+                            voids,
+                            outcome: None,
+                            settled: false,
+                            left: false,
+                            opened,
+                        };
                         self.bytes += size(&promised);
                         self.records.insert(Arc::clone(&id), promised);
                         Some(Word::Promised { id, ballot, life, record: None })
@@ -509,7 +565,7 @@
                     record.outcome = Some((record.promised, outcome));
                     record.settled = true;
                     self.bytes = self.bytes - before + size(record);
-                    self.settled.push((now, id));
+                    self.settled.push((self.epoch, id));
                 }
                 None
             }
@@ -540,6 +596,7 @@
             let before = size(record);
             record.intents.extend(&written.intents);
             record.voids.extend(&written.voids);
+            record.left |= written.left;
             if let (Some(outcome), false) = (&written.outcome, record.settled) {
                 record.outcome = Some((ballot, Arc::clone(outcome)));
             }
@@ -548,36 +605,41 @@
         Word::Done { id, ballot, version, life: self.life }
     }
 
-    /// Forgets settled ids, oldest first, until another fits. What has not ended is never forgotten, and what
-    /// ended is kept for as long as it may be asked for again.
-    fn make_room(&mut self, now: Micros, bytes: usize) -> bool {
-        while self.records.len() >= self.bounds.records || self.bytes + bytes > self.bounds.bytes {
-            let old = |(at, _): &(Micros, Id)| now.saturating_sub(*at) >= self.bounds.life;
-            if !self.settled.first().is_some_and(old) {
-                return false;
-            }
-            let (_, id) = self.settled.remove(0);
-            self.forget(&id);
-        }
-        true
+    /// Whether an id that was opened then, and of which nothing is here, may have been here.
+    fn may_have_forgotten(&self, opened: &Opened) -> bool {
+        let epoch = opened.epochs.get(&self.me);
+        opened.lives.get(&self.me) != Some(&self.life) || epoch.is_none_or(|epoch| epoch + 1 < self.epoch)
     }
 
-    /// Forgets what ended long enough ago.
-    pub fn tidy(&mut self, now: Micros) {
-        let old =
-            self.settled.iter().take_while(|(at, _)| now.saturating_sub(*at) >= self.bounds.life).count();
+    /// Whether another id fits. What has not ended is never forgotten, and what ended is kept for as long as it
+    /// may be asked for again.
+    fn has_room(&self, bytes: usize) -> bool {
+        self.records.len() < self.bounds.records && self.bytes + bytes <= self.bounds.bytes
+    }
+
+    /// Ends an epoch if it has lasted for the longest life of an id, and forgets what ended two epochs ago.
+    /// `true` if the others are to be told of the new one.
+    pub fn tidy(&mut self, now: Micros) -> bool {
+        if now.saturating_sub(self.since) < self.bounds.life {
+            return false;
+        }
+        (self.epoch, self.since) = (self.epoch + 1, now);
+        let old = self.settled.iter().take_while(|(at, _)| at + 2 <= self.epoch).count();
         for (_, id) in self.settled.drain(..old).collect::<Vec<_>>() {
             self.forget(&id);
         }
+        true
+    }
+
+    /// The present epoch.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
     }
 
     fn forget(&mut self, id: &Id) {
         let Some(record) = self.records.remove(id) else { return };
         self.bytes -= size(&record);
-        if let Some((by, life, number)) = self.numbers.remove(id) {
-            let floor = self.floors.entry(by).or_insert((life, number));
-            *floor = (*floor).max((life, number));
-        }
     }
 }
 
@@ -609,8 +671,10 @@
     standing: Standing,
     /// What was asked: one's own, or what a keeper held.
     asked: Arc<[u8]>,
-    /// The number of the opening; `None` for who takes over.
-    number: Option<u64>,
+    /// It opened the id, or it takes over.
+    opens: bool,
+    /// When the id was opened; that never changes, however long it takes.
+    opened: Opened,
     /// Keepers that promised this ballot, and in which life: only these count.
     lives: Lives,
     /// Attempts of earlier ballots that may have run.
@@ -632,23 +696,23 @@
     /// Who was asked by a client, with the lives that its keepers are believed to be in. It acts from the
     /// start, as far as keepers take its opening.
     #[must_use]
-    pub fn open(
-        id: Id,
-        ballot: Ballot,
-        number: u64,
-        keepers: Vec<PeerId>,
-        lives: Lives,
-        asked: Arc<[u8]>,
-    ) -> Self {
+    pub fn open(id: Id, ballot: Ballot, keepers: Vec<PeerId>, opened: Opened, asked: Arc<[u8]>) -> Self {
         let mut actor = Self::new(id, ballot, keepers, asked);
-        (actor.standing, actor.number, actor.lives) = (Standing::Acting, Some(number), lives);
+        (actor.standing, actor.opens) = (Standing::Acting, true);
+        (actor.lives, actor.opened) = (opened.lives.clone(), opened);
         actor
     }
 
     /// Who takes over: it may do nothing before a majority has promised.
     #[must_use]
-    pub fn take(id: Id, ballot: Ballot, keepers: Vec<PeerId>) -> Self {
-        Self::new(id, ballot, keepers, Arc::from([]))
+    pub fn take(id: Id, ballot: Ballot, keepers: Vec<PeerId>, opened: Opened) -> Self {
+        Self { opened, ..Self::new(id, ballot, keepers, Arc::from([])) }
+    }
+
+    /// When the id was opened.
+    #[must_use]
+    pub fn opened(&self) -> &Opened {
+        &self.opened
     }
 
     fn new(id: Id, ballot: Ballot, keepers: Vec<PeerId>, asked: Arc<[u8]>) -> Self {
@@ -658,7 +722,8 @@
             keepers,
             standing: Standing::Asking,
             asked,
-            number: None,
+            opens: false,
+            opened: Opened::default(),
             lives: Lives::new(),
             inherited: BTreeSet::new(),
             found: None,
@@ -683,6 +748,12 @@
         self.ballot
     }
 
+    /// Goes up with each thing written.
+    #[must_use]
+    pub fn version(&self) -> u32 {
+        self.version
+    }
+
     /// What was asked; empty where no keeper that promised holds it.
     #[must_use]
     pub fn asked(&self) -> &Arc<[u8]> {
@@ -716,17 +787,19 @@
     #[must_use]
     pub fn order(&self, keeper: PeerId) -> Option<Order> {
         let (id, ballot, version) = (Arc::clone(&self.id), self.ballot, self.version);
-        let (lives, written) = (self.lives.clone(), self.written.clone());
-        match (&self.standing, self.number) {
+        let (lives, written, opened) = (self.lives.clone(), self.written.clone(), self.opened.clone());
+        match (&self.standing, self.opens) {
             (Standing::Fenced, _) => None,
-            (Standing::Asking, _) => Some(Order::Take { id, ballot }),
-            (Standing::Acting, Some(number)) => {
-                let asked = Arc::clone(&self.asked);
-                Some(Order::Open { id, ballot, number, lives, asked, written, version })
+            (Standing::Asking, _) => Some(Order::Take { id, ballot, opened }),
+            (Standing::Acting, true) => {
+                let (asked, epochs) = (Arc::clone(&self.asked), self.opened.epochs.clone());
+                Some(Order::Open { id, ballot, lives, epochs, asked, written, version })
             }
             // One that has not promised is asked to first: what it holds has to be known.
-            (Standing::Acting, None) if !self.lives.contains_key(&keeper) => Some(Order::Take { id, ballot }),
-            (Standing::Acting, None) => Some(Order::Write { id, ballot, lives, written, version }),
+            (Standing::Acting, false) if !self.lives.contains_key(&keeper) => {
+                Some(Order::Take { id, ballot, opened })
+            }
+            (Standing::Acting, false) => Some(Order::Write { id, ballot, lives, written, version }),
         }
     }
 
@@ -754,6 +827,19 @@
         }
     }
 
+    /// What a fenced actor has to say to the keepers that took what it wrote: it does nothing more, and what
+    /// never had leave never ran. `unsent` are attempts that were written and not sent.
+    pub fn leave(&mut self, unsent: impl IntoIterator<Item = Mark>) -> Vec<(PeerId, Order)> {
+        self.written.voids.extend(unsent);
+        self.written.left = true;
+        let order = |keeper: &PeerId| {
+            let (id, ballot, version) = (Arc::clone(&self.id), self.ballot, self.version + 1);
+            let (lives, written) = (Lives::new(), self.written.clone());
+            (*keeper, Order::Write { id, ballot, lives, written, version })
+        };
+        self.keepers.iter().map(order).collect()
+    }
+
     /// Writes how it ended. Where an earlier ballot's outcome was found, that one is written instead: it may
     /// have been told.
     pub fn settle(&mut self, outcome: Arc<[u8]>) {
@@ -811,7 +897,7 @@
                 }
                 None
             }
-            Word::Promised { ballot, life, record, .. } if ballot == self.ballot && self.number.is_none() => {
+            Word::Promised { ballot, life, record, .. } if ballot == self.ballot && !self.opens => {
                 self.promised(from, life, record);
                 None
             }
--- /dev/null
+++ b/crates/fleet/src/takeover.rs
@@ -0,0 +1,694 @@
+//! Decides, for all ids of a process at once, who takes over what and when, and what of it may be done here.
+//!
+//! The register says what is allowed; this says who tries. A keeper tries for an id once it holds the one that
+//! acts for it to be away, each keeper later than the one before it in the id's own order, so that mostly one
+//! does. Two that try at once cost a round, never a second run. All waits in here choose when to ask again, when
+//! to try and when to tell a client that nothing can be known; none of them allows anything.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::register::{
+    keepers, Abstains, Actor, Ballot, Bounds, Epochs, Id, Keeper, Lives, Mark, Meeting, Opened, Order,
+    Record, Standing, Word,
+};
+use crate::{Incarnation, Micros, PeerId};
+
+/// Between processes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// To a keeper.
+    Order(Order),
+    /// From a keeper.
+    Word(Word),
+    /// A keeper that has started says in which life it is.
+    Meet(Incarnation),
+    /// What another holds of ids that both keep.
+    Meeting(Meeting),
+    /// A keeper's epoch, in this life of it.
+    Epoch(Incarnation, u64),
+}
+
+/// How an id ended, the same for whoever asks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With this answer.
+    Said(Arc<[u8]>),
+    /// Its gatherer was lost while a part of it may have run.
+    MayHaveRun,
+    /// No part of it ran.
+    NeverRan,
+}
+
+impl Ended {
+    /// As records hold it.
+    #[must_use]
+    pub fn write(&self) -> Arc<[u8]> {
+        match self {
+            Self::Said(words) => [&[0], &words[..]].concat().into(),
+            Self::MayHaveRun => [1].into(),
+            Self::NeverRan => [2].into(),
+        }
+    }
+
+    /// As a record holds it. What cannot be read may have run.
+    #[must_use]
+    pub fn read(bytes: &[u8]) -> Self {
+        match bytes.split_first() {
+            Some((0, words)) => Self::Said(words.into()),
+            Some((2, [])) => Self::NeverRan,
+            _ => Self::MayHaveRun,
+        }
+    }
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// To be sent to a peer.
+    Tell(PeerId, Note),
+    /// An attempt has leave to be sent, or never will have.
+    Leave {
+        /// The id.
+        id: Id,
+        /// The part.
+        part: u32,
+        /// The attempt.
+        attempt: u32,
+        /// Whether it may be sent.
+        given: bool,
+    },
+    /// How an id ended: to be told to whoever waits for it here.
+    Ended(Id, Ended),
+    /// Another process acts for this id: nothing more is done for it here, and how it ends is told once known.
+    Elsewhere(Id),
+    /// The same id was asked with another body.
+    Another(Id),
+    /// To be run here, for nothing of it can have run: what was asked, and so long ago.
+    Adopt(Id, Arc<[u8]>, Micros),
+    /// No majority of its keepers is within reach, and the time that this may take is over.
+    Unsure(Id),
+}
+
+/// What a desk follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Setup {
+    /// This process's place in the list.
+    pub me: PeerId,
+    /// How many are in the list.
+    pub peers: usize,
+    /// How many keepers an id has.
+    pub group: usize,
+    /// What it holds as a keeper; `life` is how long an id may be asked again.
+    pub bounds: Bounds,
+}
+
+/// What no word came on is said again after this wait.
+const AGAIN: Micros = 30_000;
+/// Leave for a first attempt that a majority has not given by then is not waited for.
+const LEAVE: Micros = 200_000;
+/// Each keeper tries so much later than the one before it.
+const STEP: Micros = 60_000;
+/// How long it is until a keeper is asked again what it holds, while an id is waited for.
+const POLL: Micros = 20_000;
+/// Keepers that have started ask again whom they have not heard whole, and old records are looked for.
+const ROUND: Micros = 250_000;
+/// Ids that are being taken over at a time; the others wait, the oldest first.
+const BURST: usize = 32;
+
+/// What this process does for one id.
+#[derive(Debug)]
+struct Work {
+    actor: Option<Actor>,
+    asked: Arc<[u8]>,
+    /// Somebody here waits for how it ends.
+    here: bool,
+    /// What was asked was handed out to be run, or is being run for a client here.
+    runs: bool,
+    /// Attempts that wait for leave, since when.
+    wants: Vec<(u32, u32, Mark, Micros)>,
+    ended: Option<Ended>,
+    until: Micros,
+    again: Micros,
+    /// The version that keepers were told last.
+    said: u32,
+}
+
+/// One process's part in all ids.
+#[derive(Debug)]
+pub struct Desk {
+    setup: Setup,
+    keeper: Option<Keeper>,
+    /// The present lives of those that have been linked.
+    lives: Lives,
+    /// And their epochs.
+    epochs: Epochs,
+    away: BTreeSet<PeerId>,
+    works: BTreeMap<Id, Work>,
+    /// Ids that this keeper may take over, with when, and when they came to it.
+    watched: BTreeMap<Id, (Micros, Option<Micros>)>,
+    /// Ids that nobody acts for as far as these keepers know.
+    asking: BTreeMap<Id, BTreeSet<PeerId>>,
+    turn: u64,
+    round: Micros,
+    wishes: Vec<Wish>,
+}
+
+impl Desk {
+    /// A desk that knows nobody; until a first link there are no keepers within reach.
+    #[must_use]
+    pub fn new(setup: Setup) -> Self {
+        Self {
+            setup,
+            keeper: None,
+            lives: Lives::new(),
+            epochs: Epochs::new(),
+            away: BTreeSet::new(),
+            works: BTreeMap::new(),
+            watched: BTreeMap::new(),
+            asking: BTreeMap::new(),
+            turn: 0,
+            round: 0,
+            wishes: Vec::new(),
+        }
+    }
+
+    /// What is to be done since the last call.
+    pub fn wishes(&mut self) -> Vec<Wish> {
+        std::mem::take(&mut self.wishes)
+    }
+
+    /// Ids that something is done for here, and records kept with their bytes.
+    #[must_use]
+    pub fn load(&self) -> (usize, usize, usize) {
+        let (records, bytes) = self.keeper.as_ref().map_or((0, 0), Keeper::holds);
+        (self.works.len(), records, bytes)
+    }
+
+    /// Whether something is being done for an id here.
+    #[must_use]
+    pub fn knows(&self, id: &str) -> bool {
+        self.works.contains_key(id)
+    }
+
+    /// A ballot that nobody ever had.
+    fn ballot(&mut self, round: u32) -> Ballot {
+        self.turn += 1;
+        Ballot { round, by: self.setup.me, life: self.life(), turn: self.turn }
+    }
+
+    fn life(&self) -> Incarnation {
+        self.keeper.as_ref().map(Keeper::life).unwrap_or_default()
+    }
+
+    /// A link is up: to whom, in which life, and in which life this process is itself.
+    pub fn linked(&mut self, now: Micros, peer: PeerId, life: Incarnation, own: Incarnation) {
+        if self.keeper.is_none() {
+            let Setup { me, peers, group, bounds } = self.setup;
+            self.keeper = Some(Keeper::new(now, me, own, peers, group, bounds));
+            self.lives.insert(me, own);
+            self.epochs.insert(me, 0);
+        }
+        let before = self.lives.insert(peer, life);
+        if before != Some(life) {
+            // Known again once it says so.
+            self.epochs.remove(&peer);
+        }
+        self.away.remove(&peer);
+        self.wishes.push(Wish::Tell(peer, Note::Meet(self.life())));
+        if before.is_some_and(|before| before != life) {
+            self.look(now, peer);
+        }
+    }
+
+    /// This process goes on under another life of its name: what it was allowed, it no longer is.
+    pub fn reborn(&mut self, now: Micros, own: Incarnation) {
+        let Setup { me, peers, group, bounds } = self.setup;
+        self.keeper = Some(Keeper::new(now, me, own, peers, group, bounds));
+        self.lives.insert(me, own);
+        self.epochs.insert(me, 0);
+        self.watched.clear();
+        self.asking.clear();
+        for (id, work) in std::mem::take(&mut self.works) {
+            self.deny(&id, work.wants);
+            self.wishes.push(Wish::Unsure(id));
+        }
+    }
+
+    /// Whether a peer is held to be away: advice.
+    pub fn held(&mut self, now: Micros, peer: PeerId, away: bool) {
+        let news = if away { self.away.insert(peer) } else { self.away.remove(&peer) };
+        if news && away {
+            self.look(now, peer);
+        }
+    }
+
+    /// Looks for ids that a peer acted for, in a life that is over or while it is away.
+    fn look(&mut self, now: Micros, peer: PeerId) {
+        let Some(keeper) = &self.keeper else { return };
+        let its = keeper.open().filter(|(_, record)| record.promised.by == peer);
+        let due: Vec<Id> =
+            its.filter(|(_, record)| self.is_away(record)).map(|(id, _)| Arc::clone(id)).collect();
+        for id in due {
+            let at = now + self.rank(&id) * STEP;
+            self.watched.entry(id).or_insert((now, None)).1 = Some(at);
+        }
+    }
+
+    fn is_away(&self, record: &Record) -> bool {
+        let Ballot { by, life, .. } = record.promised;
+        let other = self.lives.get(&by).is_some_and(|now| *now != life);
+        other || (by != self.setup.me && self.away.contains(&by))
+    }
+
+    /// How many keepers of an id that are held to be there come before this one.
+    fn rank(&self, id: &str) -> Micros {
+        let all = keepers(id, self.setup.peers, self.setup.group);
+        let before = all.iter().take_while(|peer| **peer != self.setup.me);
+        before.filter(|peer| !self.away.contains(peer)).count() as Micros
+    }
+
+    fn tell(&mut self, now: Micros, to: PeerId, note: Note) {
+        if to == self.setup.me {
+            self.note(now, to, note);
+        } else {
+            self.wishes.push(Wish::Tell(to, note));
+        }
+    }
+
+    /// A peer, or this process itself, says something.
+    pub fn note(&mut self, now: Micros, from: PeerId, note: Note) {
+        match note {
+            Note::Order(order) => {
+                let id = Arc::clone(order.id());
+                let asked = matches!(order, Order::Ask { .. });
+                let Some(keeper) = &mut self.keeper else { return };
+                let word = keeper.order(now, order);
+                let left = match keeper.record(&id) {
+                    Some(record) if !record.settled => {
+                        self.watched.entry(Arc::clone(&id)).or_insert((now, None));
+                        record.left
+                    }
+                    _ => {
+                        self.watched.remove(&id);
+                        false
+                    }
+                };
+                if left && !asked {
+                    let at = now + self.rank(&id) * STEP;
+                    let watched = self.watched.entry(id).or_insert((now, None));
+                    watched.1.get_or_insert(at);
+                }
+                word.into_iter().for_each(|word| self.tell(now, from, Note::Word(word)));
+            }
+            Note::Word(word) => self.word(now, from, word),
+            Note::Meet(life) => {
+                let Some(keeper) = &mut self.keeper else { return };
+                let meeting = keeper.meet(now, from, life);
+                self.tell(now, from, Note::Meeting(meeting));
+            }
+            Note::Epoch(life, epoch) => self.epoch(from, life, epoch),
+            Note::Meeting(meeting) => {
+                self.epoch(meeting.from, meeting.life, meeting.epoch);
+                let Some(keeper) = &mut self.keeper else { return };
+                keeper.met(meeting);
+                for (id, _) in keeper.open() {
+                    self.watched.entry(Arc::clone(id)).or_insert((now, None));
+                }
+            }
+        }
+    }
+
+    fn epoch(&mut self, peer: PeerId, life: Incarnation, epoch: u64) {
+        if self.lives.get(&peer) == Some(&life) {
+            let known = self.epochs.entry(peer).or_insert(epoch);
+            *known = (*known).max(epoch);
+        }
+    }
+
+    fn word(&mut self, now: Micros, from: PeerId, word: Word) {
+        let id = match &word {
+            Word::Done { id, .. }
+            | Word::Promised { id, .. }
+            | Word::Held { id, .. }
+            | Word::Abstains { id, .. }
+            | Word::Known { id, .. } => Arc::clone(id),
+        };
+        if let Word::Known { record, .. } = word {
+            return self.known(now, from, &id, record);
+        }
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let outlived = matches!(word, Word::Abstains { why: Abstains::Outlived, .. });
+        let Some(actor) = &mut work.actor else { return };
+        if let Some(record) = actor.word(from, word) {
+            let wants = std::mem::take(&mut work.wants);
+            let leaving = actor.leave(wants.iter().map(|(.., mark, _)| *mark));
+            work.actor = None;
+            let (here, asked) = (work.here, Arc::clone(&work.asked));
+            self.deny(&id, wants);
+            for (to, order) in leaving {
+                self.tell(now, to, Note::Order(order));
+            }
+            if !here {
+                // Whoever fenced it ends it.
+                self.works.remove(&id);
+            } else if !asked.is_empty() && !record.asked.is_empty() && head(&asked) != head(&record.asked) {
+                self.works.remove(&id);
+                self.wishes.push(Wish::Another(id));
+            } else {
+                self.wishes.push(Wish::Elsewhere(Arc::clone(&id)));
+                self.elsewhere(now, &id, &record);
+            }
+            return;
+        }
+        if outlived && actor.is_stuck() {
+            return self.again(now, &id);
+        }
+        self.advance(now, &id);
+    }
+
+    /// What another keeper holds of an id that is waited for here, or that nobody seems to act for.
+    fn known(&mut self, now: Micros, from: PeerId, id: &Id, record: Option<Record>) {
+        let waits = self.works.get(id).is_some_and(|work| work.actor.is_none());
+        if let (true, Some(record)) = (waits, &record) {
+            self.elsewhere(now, id, record);
+        }
+        let free = record.is_none_or(|record| record.left || self.is_away(&record));
+        let Some(asking) = self.asking.get_mut(id) else { return };
+        if free {
+            asking.insert(from);
+            if 2 * asking.len() > self.setup.group {
+                self.asking.remove(id);
+                self.take(now, id);
+            }
+        } else {
+            // One that has a majority, perhaps. It is looked at again in a while.
+            self.asking.remove(id);
+            if let Some((_, at)) = self.watched.get_mut(id) {
+                *at = Some(now + 2 * STEP);
+            }
+        }
+    }
+
+    /// A keeper that was counted on has started again: the ballot is of no more use, and a higher one is asked for.
+    fn again(&mut self, now: Micros, id: &Id) {
+        let held = self.works.get(id).and_then(|work| work.actor.as_ref());
+        let Some((held, opened)) = held.map(|actor| (actor.ballot(), actor.opened().clone())) else { return };
+        let ballot = self.ballot(held.round + 1);
+        let Some(work) = self.works.get_mut(id) else { return };
+        work.actor = Some(Actor::take(
+            Arc::clone(id),
+            ballot,
+            keepers(id, self.setup.peers, self.setup.group),
+            opened,
+        ));
+        let wants = std::mem::take(&mut work.wants);
+        self.deny(id, wants);
+        self.say(now, id);
+    }
+
+    /// What another's record says of an id that is waited for here.
+    fn elsewhere(&mut self, now: Micros, id: &Id, record: &Record) {
+        if let (true, Some((_, outcome))) = (record.settled, &record.outcome) {
+            self.works.remove(id);
+            self.wishes.push(Wish::Ended(Arc::clone(id), Ended::read(outcome)));
+            // Whatever else is held of it, here or where this process opened it in vain, is over with that.
+            for to in keepers(id, self.setup.peers, self.setup.group) {
+                let order = Order::Settled { id: Arc::clone(id), outcome: Arc::clone(outcome) };
+                self.tell(now, to, Note::Order(order));
+            }
+        } else if let Some(work) = self.works.get_mut(id) {
+            work.again = now + POLL;
+        }
+    }
+
+    fn deny(&mut self, id: &Id, wants: Vec<(u32, u32, Mark, Micros)>) {
+        for (part, attempt, ..) in wants {
+            self.wishes.push(Wish::Leave { id: Arc::clone(id), part, attempt, given: false });
+        }
+    }
+
+    /// Says to keepers what they have not taken yet.
+    fn say(&mut self, now: Micros, id: &Id) {
+        let Some(work) = self.works.get_mut(id) else { return };
+        work.again = now + AGAIN;
+        let Some(actor) = &work.actor else { return };
+        work.said = actor.version();
+        let orders: Vec<(PeerId, Order)> =
+            actor.missing().into_iter().filter_map(|to| Some((to, actor.order(to)?))).collect();
+        for (to, order) in orders {
+            self.tell(now, to, Note::Order(order));
+        }
+    }
+
+    /// An attempt wants leave. `asked` is what was asked, by which another could run it, and begins with eight
+    /// bytes that tell one body from another; `until` is when nobody waits for the id any more.
+    pub fn want(&mut self, now: Micros, id: &Id, asked: &Arc<[u8]>, until: Micros, part: u32, attempt: u32) {
+        if !self.works.contains_key(id) {
+            let ballot = self.ballot(0);
+            let keepers = keepers(id, self.setup.peers, self.setup.group);
+            let lives = keepers.iter().filter_map(|peer| Some((*peer, *self.lives.get(peer)?))).collect();
+            let (id, asked) = (Arc::clone(id), Arc::clone(asked));
+            let opened = Opened { lives, epochs: self.epochs.clone() };
+            let actor = Actor::open(Arc::clone(&id), ballot, keepers, opened, Arc::clone(&asked));
+            let (wants, ended) = (Vec::new(), None);
+            let work = Work {
+                actor: Some(actor),
+                asked,
+                here: true,
+                runs: true,
+                wants,
+                ended,
+                until,
+                again: now,
+                said: 0,
+            };
+            self.works.insert(id, work);
+        }
+        let Some(work) = self.works.get_mut(id) else { return };
+        let mark = work.actor.as_mut().and_then(|actor| actor.intend(part, attempt));
+        match mark {
+            Some(mark) => {
+                work.wants.push((part, attempt, mark, now));
+                self.say(now, id);
+                self.advance(now, id);
+            }
+            None => self.wishes.push(Wish::Leave { id: Arc::clone(id), part, attempt, given: false }),
+        }
+    }
+
+    /// Somebody here asks for an id that something is done for here already, and waits as well; `false` if
+    /// nothing is.
+    pub fn wait(&mut self, id: &str, until: Micros) -> bool {
+        let Some(work) = self.works.get_mut(id) else { return false };
+        (work.here, work.until) = (true, work.until.max(until));
+        true
+    }
+
+    /// An attempt that had leave never ran, or will not be sent.
+    pub fn void(&mut self, id: &str, part: u32, attempt: u32) {
+        let Some(work) = self.works.get_mut(id) else { return };
+        work.wants.retain(|(p, a, ..)| (*p, *a) != (part, attempt));
+        if let Some(actor) = &mut work.actor {
+            let ballot = actor.ballot();
+            actor.void(Mark { part, attempt, ballot });
+        }
+    }
+
+    /// The id has ended here: it is told once that is recorded, as [`Wish::Ended`].
+    pub fn finish(&mut self, now: Micros, id: &Id, ended: Ended) {
+        let Some(work) = self.works.get_mut(id) else { return };
+        let wants = std::mem::take(&mut work.wants);
+        work.ended = Some(ended);
+        drop(wants);
+        self.advance(now, id);
+    }
+
+    /// Does what the words that came allow.
+    fn advance(&mut self, now: Micros, id: &Id) {
+        let taking = self.works.values().filter(|work| work.runs && !work.here).count();
+        let came = self.watched.get(id).map_or(now, |(came, _)| *came);
+        let Some(work) = self.works.get_mut(id) else { return };
+        let Some(actor) = &mut work.actor else { return };
+        if *actor.standing() != Standing::Acting {
+            return;
+        }
+        let mut given = Vec::new();
+        work.wants.retain(|(part, attempt, mark, _)| {
+            let granted = actor.granted(*mark);
+            if granted {
+                given.push((*part, *attempt));
+            }
+            !granted
+        });
+        if let Some(ended) = &work.ended {
+            actor.settle(ended.write());
+        } else if actor.found().is_some() || (!work.runs && actor.any_may_have_run()) {
+            actor.settle(Ended::MayHaveRun.write());
+        } else if !work.runs && actor.asked().is_empty() {
+            actor.settle(Ended::NeverRan.write());
+        } else if !work.runs && taking < BURST {
+            work.runs = true;
+            work.asked = Arc::clone(actor.asked());
+            let age = now.saturating_sub(came);
+            self.wishes.push(Wish::Adopt(Arc::clone(id), Arc::clone(&work.asked), age));
+        }
+        let settled = actor.settled().cloned();
+        let more = actor.version() != work.said;
+        for (part, attempt) in given {
+            self.wishes.push(Wish::Leave { id: Arc::clone(id), part, attempt, given: true });
+        }
+        match settled {
+            Some(outcome) => {
+                let here = work.here;
+                self.works.remove(id);
+                if here {
+                    self.wishes.push(Wish::Ended(Arc::clone(id), Ended::read(&outcome)));
+                }
+                for to in keepers(id, self.setup.peers, self.setup.group) {
+                    let order = Order::Settled { id: Arc::clone(id), outcome: Arc::clone(&outcome) };
+                    self.tell(now, to, Note::Order(order));
+                }
+            }
+            None if more => self.say(now, id),
+            None => {}
+        }
+    }
+
+    /// Takes over an id, if it is still as it was.
+    fn take(&mut self, now: Micros, id: &Id) {
+        let record = self.keeper.as_ref().and_then(|keeper| keeper.record(id));
+        let Some(record) = record.filter(|record| !record.settled) else {
+            self.watched.remove(id);
+            return;
+        };
+        if self.works.get(id).is_some_and(|work| work.actor.is_some()) {
+            return;
+        }
+        let (round, asked) = (record.promised.round + 1, Arc::clone(&record.asked));
+        let opened = record.opened.clone();
+        let ballot = self.ballot(round);
+        let actor =
+            Actor::take(Arc::clone(id), ballot, keepers(id, self.setup.peers, self.setup.group), opened);
+        let (until, again) = (now + self.setup.bounds.life, now);
+        let here = self.works.get(id).is_some_and(|work| work.here);
+        let wants = Vec::new();
+        let work =
+            Work { actor: Some(actor), asked, here, runs: false, wants, ended: None, until, again, said: 0 };
+        self.works.insert(Arc::clone(id), work);
+        self.say(now, id);
+    }
+
+    /// When something is to be done without a message.
+    #[must_use]
+    pub fn due(&self) -> Option<Micros> {
+        self.keeper.as_ref()?;
+        let works = self.works.values().map(|work| {
+            let leave = work.wants.iter().map(|(.., since)| since + LEAVE);
+            leave.chain([work.again, work.until]).min().unwrap_or(work.again)
+        });
+        let watched = self.watched.values().filter_map(|(_, at)| *at);
+        works.chain(watched).chain([self.round + ROUND]).min()
+    }
+
+    /// Does all whose time has come.
+    pub fn tick(&mut self, now: Micros) {
+        if self.due().is_none_or(|due| due > now) {
+            return;
+        }
+        let over = |(_, (_, at)): &(&Id, &(Micros, Option<Micros>))| at.is_some_and(|at| at <= now);
+        let due: Vec<Id> = self.watched.iter().filter(over).map(|(id, _)| Arc::clone(id)).collect();
+        for id in due {
+            if let Some((_, at)) = self.watched.get_mut(&id) {
+                *at = None;
+            }
+            let record = self.keeper.as_ref().and_then(|keeper| keeper.record(&id));
+            if record.is_some_and(|record| record.left && !record.settled) {
+                // Who left lost to another, who may have a majority and be at work: the others are asked first.
+                self.asking.insert(Arc::clone(&id), BTreeSet::new());
+                // Words that are lost are asked for again.
+                if let Some((_, at)) = self.watched.get_mut(&id) {
+                    *at = Some(now + 2 * STEP);
+                }
+                for to in keepers(&id, self.setup.peers, self.setup.group) {
+                    self.tell(now, to, Note::Order(Order::Ask { id: Arc::clone(&id) }));
+                }
+            } else {
+                self.take(now, &id);
+            }
+        }
+        for id in self.works.keys().cloned().collect::<Vec<_>>() {
+            self.work_late(now, &id);
+        }
+        if self.round + ROUND <= now {
+            self.round = now;
+            self.look_round(now);
+        }
+    }
+
+    fn work_late(&mut self, now: Micros, id: &Id) {
+        let Some(work) = self.works.get_mut(id) else { return };
+        if work.until <= now {
+            let wants = std::mem::take(&mut work.wants);
+            let here = work.here;
+            self.works.remove(id);
+            self.deny(id, wants);
+            if here {
+                self.wishes.push(Wish::Unsure(Arc::clone(id)));
+            }
+            return;
+        }
+        if work.wants.iter().any(|(.., since)| since + LEAVE <= now) {
+            // The intents stay written where they were: whoever takes over takes them for what may have run.
+            let wants = std::mem::take(&mut work.wants);
+            self.deny(id, wants);
+            self.wishes.push(Wish::Unsure(Arc::clone(id)));
+        }
+        let Some(work) = self.works.get_mut(id) else { return };
+        if work.again > now {
+            return;
+        }
+        if work.actor.is_some() {
+            self.say(now, id);
+            return self.advance(now, id);
+        }
+        work.again = now + POLL;
+        for to in keepers(id, self.setup.peers, self.setup.group) {
+            self.tell(now, to, Note::Order(Order::Ask { id: Arc::clone(id) }));
+        }
+    }
+
+    /// What is looked at now and then: whom this keeper has to hear, ids that nobody ends.
+    fn look_round(&mut self, now: Micros) {
+        if self.keeper.as_mut().is_some_and(|keeper| keeper.tidy(now)) {
+            let (life, epoch) = (self.life(), self.keeper.as_ref().map_or(0, Keeper::epoch));
+            self.epochs.insert(self.setup.me, epoch);
+            let others: Vec<PeerId> = self.lives.keys().copied().filter(|p| *p != self.setup.me).collect();
+            self.wishes.extend(others.into_iter().map(|to| Wish::Tell(to, Note::Epoch(life, epoch))));
+        }
+        let Some(keeper) = &self.keeper else { return };
+        let (life, unmet) = (keeper.life(), keeper.unmet());
+        let records: BTreeMap<Id, bool> =
+            keeper.open().map(|(id, record)| (Arc::clone(id), record.left || self.is_away(record))).collect();
+        for to in unmet {
+            self.wishes.push(Wish::Tell(to, Note::Meet(life)));
+        }
+        self.watched.retain(|id, _| records.contains_key(id));
+        self.asking.retain(|id, _| records.contains_key(id));
+        for (id, away) in records {
+            let rank = self.rank(&id);
+            let life = self.setup.bounds.life;
+            let (came, at) = self.watched.entry(id).or_insert((now, None));
+            // One whose owner is there and does not end it may be cut off from its keepers.
+            let old = now.saturating_sub(*came) >= life;
+            if at.is_none() && (away || old) {
+                *at = Some(now + rank * STEP);
+            }
+        }
+    }
+}
+
+/// What tells one body from another.
+fn head(asked: &[u8]) -> &[u8] {
+    &asked[..asked.len().min(8)]
+}
--- /dev/null
+++ b/crates/fleet/tests/takeover.rs
@@ -0,0 +1,342 @@
+//! Whole processes' desks on a network of their own in simulated time: owners die, are halted and come back,
+//! messages are lost, doubled and late, and clients ask again elsewhere. Holds are counted at the host.
+//! `TAKEOVER_SEEDS` sets how many random histories are played.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use mallowgauge_fleet::register::{Bounds, Id};
+use mallowgauge_fleet::takeover::{Desk, Ended, Note, Setup, Wish};
+use mallowgauge_fleet::{Incarnation, PeerId};
+
+const MS: u64 = 1000;
+const LIFE: u64 = 4_000 * MS;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Note(usize, usize, Note),
+    /// The frame with an attempt reaches the host; the answer goes back.
+    Run(usize, Id, u32),
+    /// The host's answer, for the life that sent it.
+    Answer(usize, u64, Id),
+    /// A client asks for an id at a process, and waits until then.
+    Ask(usize, Id, u64),
+}
+
+struct Process {
+    desk: Desk,
+    life: u64,
+    dead: bool,
+    paused_until: u64,
+    /// Attempts so far of each id, in this life.
+    tries: BTreeMap<Id, u32>,
+}
+
+struct World {
+    now: u64,
+    rng: fastrand::Rng,
+    all: Vec<Process>,
+    /// By time and number.
+    events: BTreeMap<(u64, u64), Event>,
+    number: u64,
+    loss: f64,
+    twice: f64,
+    cut: BTreeSet<(usize, usize)>,
+    runs: BTreeMap<Id, u32>,
+    told: BTreeMap<Id, BTreeSet<Arc<[u8]>>>,
+    unsure: u32,
+}
+
+fn life(number: u64) -> Incarnation {
+    Incarnation { number, nonce: 0 }
+}
+
+fn asked() -> Arc<[u8]> {
+    b"the body"[..].into()
+}
+
+impl World {
+    fn new(count: usize, seed: u64) -> Self {
+        let mut world = Self {
+            now: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            all: Vec::new(),
+            events: BTreeMap::new(),
+            number: 0,
+            loss: 0.0,
+            twice: 0.0,
+            cut: BTreeSet::new(),
+            runs: BTreeMap::new(),
+            told: BTreeMap::new(),
+            unsure: 0,
+        };
+        for at in 0..count {
+            world.all.push(Process {
+                desk: Self::desk(at, count),
+                life: 1,
+                dead: false,
+                paused_until: 0,
+                tries: BTreeMap::new(),
+            });
+        }
+        (0..count).for_each(|at| world.link(at));
+        // All started at once: nothing is promised before the longest life of an id is over.
+        world.run(LIFE + 600 * MS);
+        world
+    }
+
+    fn desk(at: usize, peers: usize) -> Desk {
+        let bounds = Bounds { records: 10_000, bytes: 16 << 20, life: LIFE };
+        Desk::new(Setup { me: PeerId(at as u16), peers, group: 3, bounds })
+    }
+
+    /// Links one with all that are there.
+    fn link(&mut self, at: usize) {
+        for other in (0..self.all.len()).filter(|other| *other != at) {
+            if self.all[other].dead {
+                continue;
+            }
+            let (a, b) = (life(self.all[at].life), life(self.all[other].life));
+            let now = self.now;
+            self.all[at].desk.linked(now, PeerId(other as u16), b, a);
+            self.all[other].desk.linked(now, PeerId(at as u16), a, b);
+            self.carry(other);
+        }
+        self.carry(at);
+    }
+
+    fn put(&mut self, after: u64, event: Event) {
+        self.number += 1;
+        self.events.insert((self.now + after, self.number), event);
+    }
+
+    fn ask(&mut self, after: u64, at: usize, id: &Id) {
+        let until = self.now + LIFE / 2 + after;
+        self.put(after, Event::Ask(at, Arc::clone(id), until));
+    }
+
+    fn carry(&mut self, at: usize) {
+        for wish in self.all[at].desk.wishes() {
+            match wish {
+                Wish::Tell(to, note) => {
+                    let to = usize::from(to.0);
+                    let copies = 1 + usize::from(self.rng.f64() < self.twice);
+                    for _ in 0..copies {
+                        if !self.cut.contains(&(at, to)) && self.rng.f64() >= self.loss {
+                            let after = self.rng.u64(200..3000);
+                            self.put(after, Event::Note(at, to, note.clone()));
+                        }
+                    }
+                }
+                Wish::Leave { id, attempt, given: true, .. } => {
+                    let after = self.rng.u64(0..5 * MS);
+                    self.put(after, Event::Run(at, id, attempt));
+                }
+                Wish::Leave { .. } | Wish::Elsewhere(_) | Wish::Another(_) => {}
+                Wish::Ended(id, ended) => {
+                    self.told.entry(id).or_default().insert(ended.write());
+                }
+                Wish::Adopt(id, _, age) if age > LIFE => {
+                    let now = self.now;
+                    self.all[at].desk.finish(now, &id, Ended::NeverRan);
+                    self.carry(at);
+                }
+                Wish::Adopt(id, ..) => self.want(at, &id),
+                Wish::Unsure(id) => {
+                    self.unsure += 1;
+                    let now = self.now;
+                    self.all[at].desk.finish(now, &id, Ended::NeverRan);
+                    self.carry(at);
+                }
+            }
+        }
+    }
+
+    fn want(&mut self, at: usize, id: &Id) {
+        let now = self.now;
+        let process = &mut self.all[at];
+        let tries = process.tries.entry(Arc::clone(id)).or_insert(0);
+        *tries += 1;
+        process.desk.want(now, id, &asked(), now + LIFE, 0, *tries);
+        self.carry(at);
+    }
+
+    fn run(&mut self, time: u64) {
+        let end = self.now + time;
+        loop {
+            let awake = |p: &&Process| !p.dead;
+            let due =
+                self.all.iter().filter(awake).filter_map(|p| Some(p.desk.due()?.max(p.paused_until))).min();
+            let next = self.events.keys().next().map(|(at, _)| *at);
+            let at = due.into_iter().chain(next).min().unwrap_or(end).max(self.now);
+            if at >= end {
+                self.now = end;
+                return;
+            }
+            self.now = at;
+            while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= at) {
+                let event = entry.remove();
+                self.event(event);
+            }
+            for at in 0..self.all.len() {
+                if !self.all[at].dead && self.all[at].paused_until <= self.now {
+                    let now = self.now;
+                    self.all[at].desk.tick(now);
+                    self.carry(at);
+                }
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let at = match &event {
+            Event::Note(_, at, _) | Event::Run(at, ..) | Event::Answer(at, ..) | Event::Ask(at, ..) => *at,
+        };
+        if self.all[at].dead {
+            return;
+        }
+        let until = self.all[at].paused_until;
+        if until > self.now {
+            // It does what it was about to do, once it goes on.
+            return self.put(until - self.now, event);
+        }
+        let now = self.now;
+        match event {
+            Event::Note(from, _, note) => self.all[at].desk.note(now, PeerId(from as u16), note),
+            Event::Run(_, id, _) => {
+                *self.runs.entry(Arc::clone(&id)).or_insert(0) += 1;
+                let (life, after) = (self.all[at].life, self.rng.u64(MS..30 * MS));
+                self.put(after, Event::Answer(at, life, id));
+            }
+            Event::Answer(_, life, id) if self.all[at].life == life => {
+                let said = Ended::Said(format!("held for {id}").into_bytes().into());
+                self.all[at].desk.finish(now, &id, said);
+            }
+            Event::Answer(..) => {}
+            // Nobody waits for it any more: an id is asked again within its life, or not at all.
+            Event::Ask(_, _, until) if until < now => {}
+            Event::Ask(_, id, _) if self.all[at].desk.wait(&id, now + LIFE) => {}
+            Event::Ask(_, id, _) => self.want(at, &id),
+        }
+        self.carry(at);
+    }
+
+    fn kill(&mut self, at: usize) {
+        self.all[at].dead = true;
+        for other in (0..self.all.len()).filter(|other| *other != at) {
+            let now = self.now;
+            self.all[other].desk.held(now, PeerId(at as u16), true);
+            self.carry(other);
+        }
+    }
+
+    fn restart(&mut self, at: usize) {
+        let count = self.all.len();
+        let process = &mut self.all[at];
+        (process.dead, process.life, process.paused_until) = (false, process.life + 1, 0);
+        process.desk = Self::desk(at, count);
+        process.tries.clear();
+        self.link(at);
+    }
+
+    fn check(&self) {
+        for (id, runs) in &self.runs {
+            assert!(*runs <= 1, "{id} ran {runs} times; told {:?}", self.told.get(id));
+        }
+        for (id, told) in &self.told {
+            assert!(told.len() <= 1, "{id} was told {told:?}");
+        }
+    }
+}
+
+#[test]
+fn a_hold_runs_and_is_told_to_all_who_ask_for_it() {
+    let mut world = World::new(5, 1);
+    let id: Id = "q1".into();
+    world.ask(0, 0, &id);
+    world.run(100 * MS);
+    (1..5).for_each(|at| world.ask(0, at, &id));
+    world.run(200 * MS);
+    assert_eq!(world.runs[&id], 1);
+    assert_eq!(world.told[&id].len(), 1);
+    assert_eq!(world.unsure, 0);
+}
+
+#[test]
+fn a_re_ask_at_three_at_once_runs_once() {
+    for seed in 0..200 {
+        let mut world = World::new(5, seed);
+        let id: Id = format!("q{seed}").into();
+        (0..3).for_each(|at| world.ask(0, at, &id));
+        world.run(2_000 * MS);
+        world.check();
+        assert_eq!(world.told.get(&id).map(BTreeSet::len), Some(1), "seed {seed}");
+    }
+}
+
+#[test]
+fn what_is_asked_of_one_that_dies_ends_all_the_same() {
+    let (mut served, mut known) = (0, 0);
+    for seed in 0..200 {
+        let mut world = World::new(5, seed);
+        let id: Id = format!("q{seed}").into();
+        world.ask(0, 0, &id);
+        let after = world.rng.u64(0..40 * MS);
+        world.run(after);
+        world.kill(0);
+        world.ask(0, 1, &id);
+        world.run(3_000 * MS);
+        world.check();
+        let told = world.told.get(&id).and_then(|told| told.first()).map(|told| Ended::read(told));
+        known += usize::from(told.is_some());
+        served += usize::from(matches!(told, Some(Ended::Said(_))));
+    }
+    assert_eq!(known, 200, "everybody who asks again is told how it ended");
+    assert!(
+        (40..200).contains(&served),
+        "{served}: some ran here, of some it is only known that they may have"
+    );
+}
+
+#[test]
+fn nothing_breaks_it() {
+    let mut told = 0;
+    let seeds = std::env::var("TAKEOVER_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(150);
+    for seed in 0..seeds {
+        let mut world = World::new(5, seed);
+        (world.loss, world.twice) = (world.rng.f64() * 0.3, world.rng.f64() * 0.3);
+        let (mut asked, mut firsts) = (0, BTreeMap::new());
+        for _ in 0..30 {
+            let at = world.rng.usize(0..5);
+            match world.rng.u32(0..9) {
+                0 if !world.all[at].dead => world.kill(at),
+                0 | 1 if world.all[at].dead => world.restart(at),
+                2 => world.all[at].paused_until = world.now + world.rng.u64(0..6_000 * MS),
+                3 => {
+                    let other = world.rng.usize(0..5);
+                    world.cut.extend([(at, other), (other, at)]);
+                }
+                4 => world.cut.clear(),
+                _ => {
+                    let id: Id = format!("{seed}-{}", asked / 2).into();
+                    let first = *firsts.entry(asked / 2).or_insert(world.now);
+                    asked += 1;
+                    if world.now > first + LIFE / 2 {
+                        continue;
+                    }
+                    for _ in 0..world.rng.u32(1..4) {
+                        let (at, after) = (world.rng.usize(0..5), world.rng.u64(0..400 * MS));
+                        world.ask(after, at, &id);
+                    }
+                }
+            }
+            let time = world.rng.u64(0..300 * MS);
+            world.run(time);
+        }
+        world.cut.clear();
+        world.run(2 * LIFE);
+        world.check();
+        told += world.told.len();
+    }
+    assert!(told > 500, "{told}");
+}
