Wire the takeover of holds into the program, off without fleet.handover

Change: core (attempts with an effect wait for leave, their queries' answers for their record, who asks again rides along; only with guard()), edge/handover.rs (carries between core and fleet), notes on links, settings fleet.handover. Three more faults of the register found by histories and mended, each seen in a trace: a settled outcome lost against a higher ballot of the lowest round (who opens writes no outcome before a majority took the opening); a keeper gave its word on a ballot that it only knew from another; an epoch too short to keep what may be asked again.

Not yet tried with real processes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -70,6 +70,8 @@
     Http(u64),
     /// A stream of the Flight front.
     Flight(u64),
+    /// Nobody here: the query was taken over from another gatherer.
+    Adopted(u64),
 }
 
 /// Why a query failed.
@@ -143,6 +145,19 @@
     Abandon(ServerId, AttemptId),
     /// Give this final answer.
     Reply(Asker, Answer),
+    /// An attempt with an effect: it may be sent once leave is given, and not before.
+    Leave(ServerId, Send),
+    /// A query with an effect has ended: its askers are told once that is recorded.
+    Record {
+        /// The client's id of it.
+        id: Rc<str>,
+        /// Who asked, and who asked again meanwhile.
+        askers: Vec<Asker>,
+        /// The answer.
+        answer: Answer,
+        /// A part of it may have run.
+        touched: bool,
+    },
     /// Watch the list of hosts.
     Watch,
     /// Fetch the whole list once.
@@ -153,6 +168,8 @@
 
 struct Open {
     asker: Asker,
+    /// Who asked again under the same id, of queries that are guarded.
+    riders: Vec<Asker>,
     ask: Ask,
     end: Micros,
     slots: Vec<Slot>,
@@ -221,6 +238,8 @@
     deadlines: Vec<Micros>,
     /// Whether a class's parts may be repeated freely.
     harmless: Vec<bool>,
+    /// Attempts with an effect wait for leave, and their queries' answers for their record.
+    guarded: bool,
     /// Final answers that came about between turns.
     ready: Vec<crate::Effect>,
     layout: Layout,
@@ -244,6 +263,8 @@
     next_id: u128,
 }
 
+/// Most that ask again under one id while it is open.
+const RIDERS: usize = 16;
 /// How far the weights of a query's parts may sum from 1, by rounding.
 const WEIGHT_SLACK: f64 = 0.01;
 
@@ -269,6 +290,7 @@
             classes,
             deadlines,
             harmless,
+            guarded: false,
             ready: Vec::new(),
             layout,
             figures,
@@ -308,6 +330,41 @@
         self.harmless[class.0]
     }
 
+    /// From now on attempts with an effect wait for leave, and the answers to their queries for their record.
+    pub fn guard(&mut self) {
+        self.guarded = true;
+    }
+
+    fn guards(&self, class: ClassId) -> bool {
+        self.guarded && !self.harmless[class.0]
+    }
+
+    /// What was asked under an id that is open, and so long its client still waits.
+    pub fn asked(&self, now: Micros, id: &str) -> Option<(&Ask, Micros)> {
+        let open = self.queries.get(self.ids.get(id)?)?;
+        Some((&open.ask, open.end.saturating_sub(now)))
+    }
+
+    /// Whether an attempt is still waited for.
+    pub fn is_out(&self, id: AttemptId) -> bool {
+        self.attempts.contains_key(&id)
+    }
+
+    /// The client's id and the shard of an attempt that is out.
+    pub fn attempted(&self, id: AttemptId) -> Option<(Rc<str>, ShardId)> {
+        let open = self.queries.get(&self.attempts.get(&id)?.query)?;
+        let (_, index) = self.parts.get(&id.part)?;
+        Some((Rc::clone(&open.ask.id), open.ask.parts[open.slots.get(*index)?.at].shard))
+    }
+
+    /// Takes a query back without an answer, because another acts for it: who asked for it.
+    pub fn withdraw(&mut self, id: &str) -> Vec<Asker> {
+        let Some(&query) = self.ids.get(id) else { return Vec::new() };
+        let open = self.close(query);
+        self.events.push(Event::Left(query));
+        open.map(|open| [vec![open.asker], open.riders].concat()).unwrap_or_default()
+    }
+
     /// The names of the classes.
     pub fn classes(&self) -> impl Iterator<Item = &str> {
         self.classes.iter().map(String::as_str)
@@ -408,6 +465,21 @@
         if ask.expires_in == 0 {
             return Err(Answer::Failed(Failure::TimeUp));
         }
+        if let (true, Some(query)) = (self.guards(ask.class), self.ids.get(&ask.id)) {
+            // A client that lost its connection asks again: it waits for the same outcome.
+            let Some(open) = self.queries.get_mut(query) else {
+                return invalid("a query of this id is open");
+            };
+            if (open.ask.class, &open.ask.text, &open.ask.parts) != (ask.class, &ask.text, &ask.parts) {
+                return invalid("a query of this id with another body is open");
+            }
+            if open.riders.len() >= RIDERS {
+                return Err(Answer::Refused { retry_after: self.router.retry_after(), untouched: false });
+            }
+            open.riders.push(asker);
+            self.askers.insert(asker, *query);
+            return Ok(());
+        }
         if self.ids.contains_key(&ask.id) {
             // Parts are named after the query's id on the way to hosts: two alike could not be told apart.
             return invalid("a query of this id is open");
@@ -445,7 +517,10 @@
         self.askers.insert(asker, query);
         let planned = ask.plan.is_some();
         let all: Vec<usize> = (0..ask.parts.len()).collect();
-        self.queries.insert(query, Open { asker, ask, end, slots: Vec::new(), may_have_run: 0, plan: None });
+        self.queries.insert(
+            query,
+            Open { asker, riders: Vec::new(), ask, end, slots: Vec::new(), may_have_run: 0, plan: None },
+        );
         if planned {
             self.begin_plan(now, query);
         } else {
@@ -594,6 +669,12 @@
     /// The client of a query has gone away; nobody is answered.
     pub fn gone(&mut self, asker: Asker) {
         if let Some(query) = self.askers.get(&asker).copied() {
+            let class = self.queries.get(&query).map(|open| open.ask.class);
+            if class.is_some_and(|class| self.guards(class)) {
+                // Its client may ask again, and has to find how it ended.
+                self.askers.remove(&asker);
+                return;
+            }
             self.close(query);
             self.events.push(Event::Left(query));
         }
@@ -729,8 +810,11 @@
         for action in actions {
             match action {
                 Action::Send { part, server, timeout } => {
-                    if let Some(send) = self.send(now, part, server, timeout) {
-                        calls.entry(server).or_default().push(send);
+                    let guarded = self.guarded && self.has_effect(part);
+                    match self.send(now, part, server, timeout) {
+                        Some(send) if guarded => others.push(Effect::Leave(server, send)),
+                        Some(send) => calls.entry(server).or_default().push(send),
+                        None => {}
                     }
                 }
                 Action::Cancel { part, attempt } => {
@@ -778,6 +862,12 @@
         effects
     }
 
+    /// Whether running a part changes something: a scout of a query with an effect changes nothing.
+    fn has_effect(&self, part: PartId) -> bool {
+        let open = self.parts.get(&part).and_then(|(query, at)| Some((self.queries.get(query)?, *at)));
+        open.is_some_and(|(open, at)| !self.harmless[open.ask.class.0] && !open.slots[at].scout)
+    }
+
     fn send(&mut self, now: Micros, part: PartId, server: ServerId, timeout: Micros) -> Option<Send> {
         let count = self.counts.entry(part).or_insert(0);
         let id = AttemptId { part, number: *count };
@@ -822,13 +912,21 @@
     }
 
     fn finish(&mut self, query: QueryId, answer: Answer) -> Option<Effect> {
-        self.close(query).map(|open| Effect::Reply(open.asker, answer))
+        let open = self.close(query)?;
+        if !self.guards(open.ask.class) {
+            return Some(Effect::Reply(open.asker, answer));
+        }
+        let askers = [vec![open.asker], open.riders].concat();
+        Some(Effect::Record { id: open.ask.id, askers, answer, touched: open.may_have_run > 0 })
     }
 
     fn close(&mut self, query: QueryId) -> Option<Open> {
         let open = self.queries.remove(&query)?;
         self.ids.remove(&open.ask.id);
         self.askers.remove(&open.asker);
+        for rider in &open.riders {
+            self.askers.remove(rider);
+        }
         self.ends.remove(&(open.end, query));
         self.planned.remove(&query);
         for slot in &open.slots {
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -7,6 +7,7 @@
 
 use crate::discovery::{Discovery, News, Roster};
 use crate::front::{flight, http};
+use crate::handover::{Handover, Task};
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::peers::Peers;
 use crate::tls::Connector;
@@ -38,8 +39,10 @@
     /// Where Flight is set up, it has half of the memory, and the others share the rest.
     fn of(config: &Config, hosts: usize) -> Self {
         // Links to other gatherers come first: they have a bounded part of both.
-        let (peers, of_memory) =
-            config.fleet.as_ref().map_or((0, 0), |(_, r)| (r.descriptors, config.memory / 16));
+        let (peers, of_memory) = config.fleet.as_ref().map_or((0, 0), |(fleet, room)| {
+            let part = if fleet.handover.is_some() { 8 } else { 16 };
+            (room.descriptors, config.memory / part)
+        });
         let (sockets, flight) = (config.links.sockets - peers, &config.flight);
         let all = config.memory - of_memory;
         let offered = flight.listen.is_some() || flight.every_host || !flight.hosts.is_empty();
@@ -73,6 +76,7 @@
     discovery: Discovery,
     /// The other gatherers, where the operator's file names any.
     peers: Option<Peers>,
+    handover: Handover,
     roster: Roster,
     zones: Vec<String>,
     listener: Option<Listener>,
@@ -99,6 +103,9 @@
         let mut core = Core::new(config.seed, config.site.settings, config.site.classes, config.bounds)
             .map_err(|e| e.to_string())?;
         config.phases.iter().for_each(|phases| core.set_phases(*phases));
+        if config.fleet.as_ref().is_some_and(|(fleet, _)| fleet.handover.is_some()) {
+            core.guard();
+        }
         let listener = Listener::bind(&handle, config.listen, Token { kind: token::HTTP_LISTENER, id: 0 })
             .map_err(|e| format!("{}: {e}", config.listen))?;
         let token = Token { kind: token::FLIGHT_LISTENER, id: 0 };
@@ -128,6 +135,7 @@
             pool: Pool::new(config.links, config.flight.clone(), room.shares, terms),
             discovery: Discovery::new(config.discovery, known.generation),
             peers,
+            handover: Handover::default(),
             roster: Roster::default(),
             zones,
             listener: Some(listener),
@@ -209,6 +217,7 @@
             self.effect(now, effect);
         }
         self.collect(now);
+        self.wishes(now);
         if self.lifecycle.quiet(now) {
             self.http_accept();
             self.flight_accept();
@@ -226,12 +235,41 @@
         self.lifecycle.phase()
     }
 
+    /// Carries out what the fleet wants done for queries with an effect.
+    fn wishes(&mut self, now: Micros) {
+        loop {
+            let Some(peers) = &mut self.peers else { return };
+            let wishes = peers.wishes();
+            if wishes.is_empty() {
+                return;
+            }
+            for wish in wishes {
+                let Some(peers) = &mut self.peers else { return };
+                let tasks = self.handover.wish(now, wish, &mut self.core, peers);
+                tasks.into_iter().for_each(|task| self.task(now, task));
+            }
+        }
+    }
+
+    fn task(&mut self, now: Micros, task: Task) {
+        match task {
+            Task::Send(server, send) => self.pool.call(now, &self.handle, server, vec![send]),
+            Task::Reply(asker, answer) => self.effect(now, Effect::Reply(asker, answer)),
+        }
+    }
+
     /// Hands the core what host connections have reported.
     fn collect(&mut self, now: Micros) {
         for report in self.pool.reports() {
             match report {
                 Report::Ended(id, Outcome::Served, Some(value)) => self.served(now, id, value),
-                Report::Ended(id, outcome, value) => self.core.outcome(now, id, outcome, value),
+                Report::Ended(id, outcome, value) => {
+                    let never_ran = [Outcome::NoRoom, Outcome::NoRoute, Outcome::NeverSent];
+                    if let (true, Some(peers)) = (never_ran.contains(&outcome), &mut self.peers) {
+                        self.handover.never_ran(now, id, &self.core, peers);
+                    }
+                    self.core.outcome(now, id, outcome, value);
+                }
                 // A second copy that finds no room is no loss while the first is out.
                 Report::Overrun(_, Some(id)) if self.core.has_twin(id) => {
                     self.core.outcome(now, id, Outcome::Cancelled, None);
@@ -266,7 +304,23 @@
     fn effect(&mut self, now: Micros, effect: Effect) {
         match effect {
             Effect::Call(server, sends) => self.pool.call(now, &self.handle, server, sends),
-            Effect::Abandon(server, attempt) => self.pool.abandon(now, server, attempt),
+            Effect::Abandon(server, attempt) => {
+                let peers = self.peers.as_mut();
+                if !peers.is_some_and(|peers| self.handover.abandon(now, attempt, peers)) {
+                    self.pool.abandon(now, server, attempt);
+                }
+            }
+            Effect::Leave(server, send) => {
+                if let Some(peers) = &mut self.peers {
+                    self.handover.leave(now, server, send, &self.core, peers);
+                }
+            }
+            Effect::Record { id, askers, answer, touched } => {
+                let Some(peers) = &mut self.peers else { return };
+                let tasks = self.handover.record(now, (id, askers), (answer, touched), peers);
+                tasks.into_iter().for_each(|task| self.task(now, task));
+            }
+            Effect::Reply(Asker::Adopted(_), _) => {}
             Effect::Probe(server) => self.pool.probe(now, &self.handle, server),
             Effect::Reply(Asker::Http(id), answer) => self.http.answer(now, id, &answer, &mut self.core),
             Effect::Reply(Asker::Flight(id), answer) => {
--- /dev/null
+++ b/crates/edge/src/handover.rs
@@ -0,0 +1,237 @@
+//! Carries queries with an effect between the core, which runs them, and the fleet, which gives leave for their
+//! attempts and records how they end. What is allowed is decided in `mallowgauge_fleet::register`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use mallowgauge_core::{Answer, Ask, AskPart, Asker, AttemptId, Core, Failure, Send, Value};
+use mallowgauge_fleet::takeover::{Ended, Wish};
+use mallowgauge_router::{ClassId, Micros, Outcome, ServerId, ShardId};
+use serde::{Deserialize, Serialize};
+
+use crate::peers::Peers;
+
+/// What was asked, as another gatherer needs it to run it.
+#[derive(Serialize, Deserialize)]
+struct Asked {
+    class: u32,
+    /// How long its client still waited when it was written.
+    left: u64,
+    text: Vec<u8>,
+    parts: Vec<(u32, f64)>,
+}
+
+/// An answer as a record holds it.
+#[derive(Serialize, Deserialize)]
+struct Served {
+    whole: bool,
+    values: Vec<(u32, String)>,
+}
+
+/// Queries too old for anything to come of them are ended without a part sent.
+const TOO_OLD: Micros = 20_000;
+
+/// Eight bytes that tell one body from another, and then what was asked.
+fn write(ask: &Ask, left: Micros) -> Arc<[u8]> {
+    let parts: Vec<(u32, f64)> = ask.parts.iter().map(|part| (part.shard.0, part.weight)).collect();
+    let body = postcard::to_stdvec(&(ask.class.0 as u32, &*ask.text, &parts)).unwrap_or_default();
+    let digest = body.iter().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    let asked = Asked { class: ask.class.0 as u32, left, text: ask.text.to_vec(), parts };
+    // Who takes over cannot plan phases anew: of these it only learns whether something may have run.
+    let asked = if ask.plan.is_some() { None } else { postcard::to_stdvec(&asked).ok() };
+    [&digest.to_be_bytes()[..], &asked.unwrap_or_default()].concat().into()
+}
+
+/// What was asked, with what is left of its client's time.
+fn read(id: &str, asked: &[u8], age: Micros) -> Option<Ask> {
+    let asked: Asked = postcard::from_bytes(asked.get(8..)?).ok()?;
+    let left = asked.left.checked_sub(age).filter(|left| *left > TOO_OLD)?;
+    let parts = asked.parts.iter().map(|&(shard, weight)| AskPart { shard: ShardId(shard), weight });
+    Some(Ask {
+        id: id.into(),
+        class: ClassId(asked.class as usize),
+        expires_in: left,
+        retry: true,
+        work_hint: None,
+        text: asked.text.into(),
+        parts: parts.collect(),
+        plan: None,
+    })
+}
+
+fn ended(answer: &Answer, touched: bool) -> Ended {
+    let texts = |values: &[(ShardId, Value)]| {
+        let text = |(shard, value): &(ShardId, Value)| match value {
+            Value::Text(text) => Some((shard.0, text.to_string())),
+            Value::Table(_) => None,
+        };
+        values.iter().map(text).collect::<Option<Vec<_>>>()
+    };
+    if let Answer::Served { whole, values } = answer {
+        let values =
+            texts(values).and_then(|values| postcard::to_stdvec(&Served { whole: *whole, values }).ok());
+        return values.map_or(Ended::MayHaveRun, |bytes| Ended::Said(bytes.into()));
+    }
+    if touched {
+        Ended::MayHaveRun
+    } else {
+        Ended::NeverRan
+    }
+}
+
+fn answer(ended: &Ended, core: &mut Core) -> Answer {
+    match ended {
+        Ended::Said(bytes) => match postcard::from_bytes::<Served>(bytes) {
+            Ok(Served { whole, values }) => {
+                let values = values.into_iter().map(|(shard, text)| (ShardId(shard), text.into()));
+                Answer::Served { whole, values: values.collect() }
+            }
+            Err(_) => Answer::Failed(Failure::Parts),
+        },
+        Ended::MayHaveRun => Answer::Failed(Failure::Parts),
+        Ended::NeverRan => Answer::Refused { retry_after: core.advice(), untouched: true },
+    }
+}
+
+/// Queries between the core and the fleet.
+#[derive(Default)]
+pub struct Handover {
+    /// Attempts that wait for leave.
+    held: BTreeMap<(Rc<str>, u32, u32), (ServerId, Send)>,
+    /// Who waits for how an id ends, once the core has done with it.
+    waiting: BTreeMap<Rc<str>, Vec<Asker>>,
+    /// Ids of which an attempt was sent here.
+    sent: BTreeSet<Rc<str>>,
+    adopted: u64,
+}
+
+/// What is to be done with the rest of the program.
+pub enum Task {
+    /// An attempt has leave.
+    Send(ServerId, Send),
+    /// A final answer.
+    Reply(Asker, Answer),
+}
+
+impl Handover {
+    /// An attempt wants leave.
+    pub fn leave(&mut self, now: Micros, server: ServerId, send: Send, core: &Core, peers: &mut Peers) {
+        let Some((ask, left)) = core.asked(now, &send.query) else { return };
+        let (id, part, attempt) = (Rc::clone(&send.query), send.shard.0, send.attempt.number);
+        let asked = write(ask, left);
+        self.held.insert((Rc::clone(&id), part, attempt), (server, send));
+        peers.desk(now, |desk| desk.want(now, &Arc::from(&*id), &asked, now + left, part, attempt));
+    }
+
+    /// Nobody waits for an attempt any more; `true` if it was not sent yet, and will not be.
+    pub fn abandon(&mut self, now: Micros, attempt: AttemptId, peers: &mut Peers) -> bool {
+        let found = self.held.iter().find(|(_, (_, send))| send.attempt == attempt);
+        let Some(key) = found.map(|(key, _)| key.clone()) else { return false };
+        self.held.remove(&key);
+        peers.desk(now, |desk| desk.void(&key.0, key.1, key.2));
+        true
+    }
+
+    /// An attempt ended in a way that proves that it never ran.
+    pub fn never_ran(&mut self, now: Micros, attempt: AttemptId, core: &Core, peers: &mut Peers) {
+        if let Some((id, shard)) = core.attempted(attempt) {
+            peers.desk(now, |desk| desk.void(&id, shard.0, attempt.number));
+        }
+    }
+
+    /// A query with an effect has ended.
+    pub fn record(
+        &mut self,
+        now: Micros,
+        (id, askers): (Rc<str>, Vec<Asker>),
+        (answer, touched): (Answer, bool),
+        peers: &mut Peers,
+    ) -> Vec<Task> {
+        self.drop_held(&id);
+        if !peers.desk(now, |desk| desk.knows(&id)).unwrap_or(false) {
+            // No attempt ever asked for leave.
+            self.sent.remove(&id);
+            return askers.into_iter().map(|asker| Task::Reply(asker, answer.clone())).collect();
+        }
+        self.waiting.entry(Rc::clone(&id)).or_default().extend(askers);
+        let ended = ended(&answer, touched);
+        peers.desk(now, |desk| desk.finish(now, &Arc::from(&*id), ended));
+        Vec::new()
+    }
+
+    fn drop_held(&mut self, id: &str) {
+        self.held.retain(|(of, ..), _| &**of != id);
+    }
+
+    /// What the fleet has decided.
+    pub fn wish(&mut self, now: Micros, wish: Wish, core: &mut Core, peers: &mut Peers) -> Vec<Task> {
+        match wish {
+            Wish::Leave { id, part, attempt, given } => {
+                let held = self.held.remove(&(Rc::from(&*id), part, attempt));
+                let Some((server, send)) = held else { return Vec::new() };
+                if !given {
+                    core.outcome(now, send.attempt, Outcome::NeverSent, None);
+                } else if core.is_out(send.attempt) {
+                    self.sent.insert(Rc::clone(&send.query));
+                    return vec![Task::Send(server, send)];
+                } else {
+                    peers.desk(now, |desk| desk.void(&id, part, attempt));
+                }
+                Vec::new()
+            }
+            Wish::Ended(id, ended) => {
+                self.sent.remove(&*id);
+                let askers = self.askers(&id, core);
+                let answer = answer(&ended, core);
+                askers.into_iter().map(|asker| Task::Reply(asker, answer.clone())).collect()
+            }
+            Wish::Elsewhere(id) => {
+                let askers = core.withdraw(&id);
+                self.drop_held(&id);
+                self.waiting.entry(Rc::from(&*id)).or_default().extend(askers);
+                Vec::new()
+            }
+            Wish::Another(id) => {
+                let answer = Answer::Failed(Failure::Invalid("this id was asked with another body"));
+                let askers = self.askers(&id, core);
+                askers.into_iter().map(|asker| Task::Reply(asker, answer.clone())).collect()
+            }
+            Wish::Unsure(id) => {
+                let touched = self.sent.remove(&*id);
+                let answer = if touched {
+                    Answer::Failed(Failure::TimeUp)
+                } else {
+                    Answer::Refused { retry_after: core.advice(), untouched: true }
+                };
+                let askers = self.askers(&id, core);
+                // It is recorded all the same once a majority can be reached.
+                let ended = if touched { Ended::MayHaveRun } else { Ended::NeverRan };
+                peers.desk(now, |desk| desk.finish(now, &id, ended));
+                askers.into_iter().map(|asker| Task::Reply(asker, answer.clone())).collect()
+            }
+            Wish::Adopt(id, asked, age) => {
+                self.adopted += 1;
+                let asker = Asker::Adopted(self.adopted);
+                let known = |ask: &Ask| ask.class.0 < core.classes().count();
+                let ask = read(&id, &asked, age).filter(known);
+                let taken = ask.map(|ask| core.ask(now, asker, ask));
+                if !matches!(taken, Some(Ok(()))) {
+                    peers.desk(now, |desk| desk.finish(now, &id, Ended::NeverRan));
+                }
+                Vec::new()
+            }
+            Wish::Tell(..) => Vec::new(),
+        }
+    }
+
+    /// Everybody who waits for an id here.
+    fn askers(&mut self, id: &str, core: &mut Core) -> Vec<Asker> {
+        self.drop_held(id);
+        let mut askers = self.waiting.remove(id).unwrap_or_default();
+        askers.extend(core.withdraw(id));
+        askers
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod discovery;
 pub mod front;
 pub mod gatherer;
+pub mod handover;
 pub mod lifecycle;
 pub mod peers;
 pub mod tls;
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -13,6 +13,8 @@
 use mallowgauge_fleet::flow::{Intake, Queue};
 use mallowgauge_fleet::links::{latest, Dials, Hello, Refusal, Register, Room};
 use mallowgauge_fleet::members::{Claim, Members, Note, Order, State};
+use mallowgauge_fleet::register::Bounds;
+use mallowgauge_fleet::takeover::{Desk, Setup, Wish};
 use mallowgauge_fleet::{Incarnation, PeerId};
 use mallowgauge_net::{Handle, Listener, ReadEnd, Stream, Token};
 use mallowgauge_router::Micros;
@@ -111,6 +113,10 @@
     register: Register,
     addresses: Vec<SocketAddr>,
     members: Members,
+    /// What is done for ids, where queries are taken over.
+    desk: Option<Desk>,
+    /// What the desk wants of the rest of the program.
+    wishes: Vec<Wish>,
     dials: Dials,
     room: Room,
     listener: Option<Listener>,
@@ -129,6 +135,8 @@
 
 /// How long accepting rests when no more descriptors are to be had.
 const REST: Micros = 20_000;
+/// Bytes that a record is reckoned to hold, with what was asked and answered.
+const A_RECORD: usize = 2048;
 /// Names that a line was written about, at most.
 const SAID: usize = 64;
 
@@ -161,6 +169,11 @@
         let mut peers = Self {
             members: Members::new(now, me, fleet.peers.len(), life, fleet.pace, seed),
             dials: Dials::new(now, &register, seed ^ life),
+            desk: fleet.handover.map(|life| {
+                let bounds = Bounds { records: room.records, bytes: room.records * A_RECORD, life };
+                Desk::new(Setup { me, peers: fleet.peers.len(), group: fleet.group, bounds })
+            }),
+            wishes: Vec::new(),
             register,
             addresses: fleet.peers.iter().map(|peer| peer.address).collect(),
             room,
@@ -199,6 +212,7 @@
             self.late(now, id);
         }
         self.members.tick(now);
+        self.desk.iter_mut().for_each(|desk| desk.tick(now));
         for peer in self.dials.take(now) {
             self.dial(now, handle, peer);
         }
@@ -223,18 +237,41 @@
         self.settle(now);
     }
 
+    /// What the desk wants of the rest of the program since the last call.
+    pub fn wishes(&mut self) -> Vec<Wish> {
+        std::mem::take(&mut self.wishes)
+    }
+
+    /// Something happens to a query; what comes of it is sent at once.
+    pub fn desk<T>(&mut self, now: Micros, call: impl FnOnce(&mut Desk) -> T) -> Option<T> {
+        let done = call(self.desk.as_mut()?);
+        self.settle(now);
+        Some(done)
+    }
+
     /// Carries out what the members want, and finds out when there is more to do.
     fn settle(&mut self, now: Micros) {
         // Sending can end a link, and that can be worth a message: each round ends one link at the least.
         loop {
             let orders = self.members.orders();
-            if orders.is_empty() {
+            let wishes = self.desk.as_mut().map(Desk::wishes).unwrap_or_default();
+            if orders.is_empty() && wishes.is_empty() {
                 break;
             }
             orders.into_iter().for_each(|order| self.order(now, order));
+            for wish in wishes {
+                match wish {
+                    Wish::Tell(to, note) => {
+                        let id = self.of.get(usize::from(to.0)).copied().flatten();
+                        id.into_iter().for_each(|id| self.say(now, id, &Said::Note(note.clone())));
+                    }
+                    wish => self.wishes.push(wish),
+                }
+            }
         }
         let links = self.links.values().filter_map(Link::due);
-        let rest = [self.members.due(), self.dials.due(), self.resting];
+        let desk = self.desk.as_ref().and_then(Desk::due);
+        let rest = [self.members.due(), self.dials.due(), self.resting, desk];
         self.due = links.chain(rest.into_iter().flatten()).min();
     }
 
@@ -270,6 +307,7 @@
                 if let Some(id) = id.filter(old) {
                     self.part(now, id, "a later life of it is known");
                 }
+                self.desk.iter_mut().for_each(|desk| desk.held(now, about, state != "alive"));
                 if state == "alive" {
                     self.dials.hint(now, about);
                 }
@@ -281,6 +319,8 @@
                 let name = self.register.name(self.register.me());
                 tracing::error!("another gatherer is {name}, life {held}; this one stands aside");
                 // Nobody takes this process for a member now, and it takes part in nothing.
+                let life = self.members.incarnation();
+                self.desk.iter_mut().for_each(|desk| desk.reborn(now, life));
                 let up: Vec<u64> = self.of.iter().copied().flatten().collect();
                 for id in up {
                     self.part(now, id, "it stands aside");
@@ -288,6 +328,7 @@
             }
             Note::Renewed(incarnation) => {
                 tracing::info!("an earlier life of this gatherer was known; it goes on as {incarnation}");
+                self.desk.iter_mut().for_each(|desk| desk.reborn(now, incarnation));
             }
         }
     }
@@ -444,6 +485,9 @@
                 self.end(now, id, End::Refused(format!("it says: {words}"), true));
             }
             (Phase::Up(peer), Said::Message(message)) => self.members.heard(now, peer, message),
+            (Phase::Up(peer), Said::Note(note)) => {
+                self.desk.iter_mut().for_each(|desk| desk.note(now, peer, (*note).clone()));
+            }
             // Of a later version: passed by.
             (Phase::Up(_), Said::Unknown) | (Phase::Parting | Phase::Dialing, _) => {}
             (Phase::Greeting, _) | (Phase::Up(_), Said::Hello(_)) => {
@@ -487,6 +531,8 @@
         self.said.remove(self.register.name(peer));
         tracing::info!("peer {} is linked, life {}", self.register.name(peer), hello.incarnation);
         self.members.linked(now, own);
+        let life = self.members.incarnation();
+        self.desk.iter_mut().for_each(|desk| desk.linked(now, peer, own.incarnation, life));
     }
 
     /// Says why, and lets the other side read it.
--- a/crates/edge/src/peers/wire.rs
+++ b/crates/edge/src/peers/wire.rs
@@ -4,6 +4,7 @@
 use mallowgauge_fleet::flow::Worth;
 use mallowgauge_fleet::links::Hello;
 use mallowgauge_fleet::members::{Claim, Grade, Message, Reached, State};
+use mallowgauge_fleet::takeover::Note;
 use mallowgauge_fleet::{Incarnation, PeerId};
 use prost::Message as _;
 
@@ -19,13 +20,15 @@
     Goodbye(String),
     /// Between members.
     Message(Message),
+    /// Between those that keep and act for ids.
+    Note(Box<Note>),
     /// A kind that this version does not know, or one that lacks what it needs.
     Unknown,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     kind: Option<Kind>,
 }
 
@@ -45,6 +48,9 @@
     Word(ForAnother),
     #[prost(message, tag = "7")]
     Tell(Question),
+    /// A note in postcard's form: what it holds is the register's business and changes with the minor version.
+    #[prost(bytes = "vec", tag = "8")]
+    Note(Vec<u8>),
 }
 
 /// The major version is the first field for good, so that it can be read in any version.
@@ -171,6 +177,7 @@
             let word = number(&WORDS, word);
             Some(Kind::Word(ForAnother { seq: *seq, target: target.0.into(), word }))
         }
+        Said::Note(note) => postcard::to_stdvec(note).ok().map(Kind::Note),
         Said::Unknown => None,
     };
     let envelope = Envelope { kind };
@@ -248,6 +255,10 @@
                 _ => Said::Unknown,
             }
         }
+        Some(Kind::Note(bytes)) => match postcard::from_bytes(&bytes) {
+            Ok(note) => Said::Note(Box::new(note)),
+            Err(_) => Said::Unknown,
+        },
         None => Said::Unknown,
     };
     Ok(Some((said, HEAD + length)))
@@ -258,6 +269,7 @@
 pub fn worth(said: &Said) -> Worth {
     match said {
         Said::Hello(_) | Said::Goodbye(_) => Worth::Bond,
+        Said::Note(_) => Worth::Promise,
         Said::Message(Message::Ack { .. } | Message::Word { .. }) => Worth::Answer,
         Said::Message(Message::Ping { .. } | Message::AskFor { .. }) => Worth::Question,
         Said::Message(Message::Tell { .. }) | Said::Unknown => Worth::Hearsay,
--- a/crates/fleet/src/flow.rs
+++ b/crates/fleet/src/flow.rs
@@ -18,6 +18,8 @@
     Question,
     /// An answer: somebody waits for it, and draws conclusions where none comes.
     Answer,
+    /// What is written, promised or told of a query: it is sent again, later.
+    Promise,
     /// What opens or ends a link.
     Bond,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,13 +15,15 @@
 pub type Micros = u64;
 
 /// A gatherer's place in the fixed list of peers, which is the same in every process that may be linked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
 pub struct PeerId(pub u16);
 
 /// One life of a process under its name. The higher one is the later one; no clock takes part in it: a process
 /// starts at 1 and goes above whatever its peers have known under its name. `nonce` tells apart two processes
 /// that came to the same number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
 pub struct Incarnation {
     /// Counts the lives that peers know of.
     pub number: u64,
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -298,6 +298,8 @@
     pub message: usize,
     /// Bytes that wait to be sent on one link.
     pub queue: usize,
+    /// Records of queries that are kept for others.
+    pub records: usize,
     /// Messages taken from one link in a turn.
     pub a_turn: usize,
     /// Messages taken from one link in a second.
@@ -308,7 +310,8 @@
 const STRANGERS: usize = 8;
 
 impl Room {
-    /// All links together hold a sixteenth of the memory: each its queue and two of the longest messages.
+    /// All links together hold a sixteenth of the memory: each its queue and two of the longest messages. Records of
+    /// queries, 2 KB each, hold another.
     ///
     /// # Errors
     /// How many descriptors are wanted where there are too few, or that memory is short.
@@ -327,6 +330,14 @@
         if message < 8192 {
             return Err(format!("{peers} peers want more of limits.memory_mb"));
         }
-        Ok(Self { strangers, descriptors, message, queue: a_link / 2, a_turn: 64, a_second: 2000 })
+        Ok(Self {
+            strangers,
+            descriptors,
+            message,
+            queue: a_link / 2,
+            records: memory / 16 / 2048,
+            a_turn: 256,
+            a_second: 20_000,
+        })
     }
 }
--- a/crates/fleet/src/register.rs
+++ b/crates/fleet/src/register.rs
@@ -23,20 +23,22 @@
 //! names the lives of the keepers that it counts on, and a keeper takes nothing that counts on a life which it
 //! knows to be over. So a majority never counts a word that was forgotten.
 //!
-//! Where nobody is left who remembers (all started at once), keepers abstain for the longest life of an id.
+//! Where nobody is left who remembers (all started at once), keepers abstain for twice the longest life of an id.
 //! That is the one wait in here, and it guards the memory of ids asked *again* (a client that comes later than
 //! that broke its side), not effects of those asked before: these are fenced by lives.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Incarnation, Micros, PeerId};
 
 /// The client's name of a query.
 pub type Id = Arc<str>;
 
 /// Under which something is done for an id. Nobody else has the same: it names its holder and which life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
     /// 0 for who was asked by the client; each that takes over goes above what it heard of.
     pub round: u32,
@@ -51,7 +53,7 @@
 
 /// An attempt of a part. It names its ballot: two that act one after the other may both count an attempt 0, and
 /// what is said of one must not be taken for the other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Mark {
     /// The part.
     pub part: u32,
@@ -62,7 +64,7 @@
 }
 
 /// What a query's keepers hold of it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Record {
     /// The ballot that was promised last; only what comes under it is taken.
     pub promised: Ballot,
@@ -90,7 +92,7 @@
 
 /// When an id was opened, as far as its keepers can tell: in which lives and epochs of theirs. One of them that
 /// holds nothing of the id, and is in another life or a later epoch, may have forgotten it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Opened {
     /// Their lives.
     pub lives: Lives,
@@ -99,7 +101,7 @@
 }
 
 /// What is written, all of it each time, so that a copy or an old one does no harm.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Written {
     /// Attempts that may be sent.
     pub intents: BTreeSet<Mark>,
@@ -112,7 +114,7 @@
 }
 
 /// From who acts for an id to a keeper.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Order {
     /// A new id, under a ballot of round 0; with what is written first.
     Open {
@@ -182,7 +184,7 @@
 }
 
 /// A keeper's word.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Word {
     /// Taken: this version is held under this ballot.
     Done {
@@ -239,7 +241,7 @@
 }
 
 /// Why a keeper gives no word.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Abstains {
     /// It has started again, and has not heard from enough others.
     Forgetful,
@@ -252,7 +254,7 @@
 }
 
 /// What one keeper tells another that has started.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Meeting {
     /// Whose word it is.
     pub from: PeerId,
@@ -315,10 +317,11 @@
     lives: Lives,
     /// From whom it was heard in this life what they hold, and whether they were whole.
     met: BTreeMap<PeerId, bool>,
-    /// Counts the times at which something may have been forgotten. What ended in an epoch is kept for the whole
-    /// next one, and an opening that knew of an epoch before the last one is refused: so an id that was
-    /// forgotten is never taken for a new one, however late what opens it comes. A clock chooses when an epoch
-    /// ends, and a process that was paused ends one, not several.
+    /// Counts the times at which something may have been forgotten. What ended in an epoch is kept for the two
+    /// after it, and an opening that knew of an epoch before the last one is refused: so one that is taken was
+    /// asked, at the earliest, in the epoch after the one that followed the end of what was forgotten, which is
+    /// later than that may be asked again. However late an opening comes, an id that was forgotten is not taken
+    /// for a new one. A clock chooses when an epoch ends, and a process that was paused ends one, not several.
     epoch: u64,
     /// When this one began.
     since: Micros,
@@ -375,13 +378,19 @@
         (self.records.len(), self.bytes)
     }
 
+    /// Whether no id that was asked before its start can be asked any more. One may be asked again at the end of
+    /// its life, and be waited for as long again.
+    fn is_old(&self, now: Micros) -> bool {
+        now.saturating_sub(self.started) >= 2 * self.bounds.life
+    }
+
     /// Whether it remembers all that it ever promised about an id. Each majority that it may have been part of
     /// in an earlier life has, beside itself, one of any `group / 2 + 1` others: it has to have met so many of
     /// the id's keepers, and they have to be whole themselves, or too much time has to have passed for the id
     /// to be asked again.
     fn remembers(&self, now: Micros, id: &str) -> bool {
         let others = keepers(id, self.peers, self.group).into_iter().filter(|peer| *peer != self.me);
-        let old = now.saturating_sub(self.started) >= self.bounds.life;
+        let old = self.is_old(now);
         if self.group == 1 {
             // There is nobody to hear it from.
             return old;
@@ -393,7 +402,7 @@
     /// Whether it is whole as far as those who start after it are concerned: it remembers for every id.
     #[must_use]
     pub fn is_whole(&self, now: Micros) -> bool {
-        let old = now.saturating_sub(self.started) >= self.bounds.life;
+        let old = self.is_old(now);
         if self.group == 1 {
             return old;
         }
@@ -456,7 +465,9 @@
                 ours.intents.extend(&theirs.intents);
                 ours.voids.extend(&theirs.voids);
                 if !ours.settled {
-                    ours.outcome = ours.outcome.take().max(theirs.outcome);
+                    // What is settled counts, whatever else was written anywhere.
+                    ours.outcome =
+                        if settled { theirs.outcome } else { ours.outcome.take().max(theirs.outcome) };
                     ours.settled = settled;
                 }
                 self.bytes = self.bytes - before + size(ours);
@@ -474,15 +485,16 @@
                 if let Some(why) = self.outlived(&lives) {
                     return Some(self.abstain(id, ballot, why));
                 }
+                // Also where it was told of this very ballot by another keeper: that is no word of its own.
+                if !self.remembers(now, &id) {
+                    return Some(self.abstain(id, ballot, Abstains::Forgetful));
+                }
                 if let Some(record) = self.records.get(&id) {
                     if record.promised != ballot || record.settled {
                         return Some(Word::Held { id, refused: ballot, record: record.clone() });
                     }
                     return Some(self.write(id, ballot, &written, version));
                 }
-                if !self.remembers(now, &id) {
-                    return Some(self.abstain(id, ballot, Abstains::Forgetful));
-                }
                 // What was asked before something was forgotten here, and comes on a slow way, may be among that.
                 let opened = Opened { lives, epochs };
                 if self.may_have_forgotten(&opened) {
@@ -510,6 +522,9 @@
                 if let Some(why) = self.outlived(&lives) {
                     return Some(self.abstain(id, ballot, why));
                 }
+                if !self.remembers(now, &id) {
+                    return Some(self.abstain(id, ballot, Abstains::Forgetful));
+                }
                 match self.records.get(&id) {
                     None => Some(self.abstain(id, ballot, Abstains::Unknown)),
                     Some(record) if record.promised != ballot => {
@@ -617,14 +632,14 @@
         self.records.len() < self.bounds.records && self.bytes + bytes <= self.bounds.bytes
     }
 
-    /// Ends an epoch if it has lasted for the longest life of an id, and forgets what ended two epochs ago.
+    /// Ends an epoch if it has lasted for the longest life of an id, and forgets what ended three epochs ago.
     /// `true` if the others are to be told of the new one.
     pub fn tidy(&mut self, now: Micros) -> bool {
         if now.saturating_sub(self.since) < self.bounds.life {
             return false;
         }
         (self.epoch, self.since) = (self.epoch + 1, now);
-        let old = self.settled.iter().take_while(|(at, _)| at + 2 <= self.epoch).count();
+        let old = self.settled.iter().take_while(|(at, _)| at + 3 <= self.epoch).count();
         for (_, id) in self.settled.drain(..old).collect::<Vec<_>>() {
             self.forget(&id);
         }
@@ -686,6 +701,8 @@
     /// The version with which each attempt was written, and the outcome.
     marks: BTreeMap<Mark, u32>,
     outcome_at: Option<u32>,
+    /// An outcome that waits for the opening to be taken.
+    pending: Option<Arc<[u8]>>,
     /// The latest version that each keeper has.
     acks: BTreeMap<PeerId, u32>,
     /// Keepers that gave no word; they may later.
@@ -731,6 +748,7 @@
             version: 0,
             marks: BTreeMap::new(),
             outcome_at: None,
+            pending: None,
             acks: BTreeMap::new(),
             abstained: BTreeSet::new(),
         }
@@ -842,8 +860,17 @@
 
     /// Writes how it ended. Where an earlier ballot's outcome was found, that one is written instead: it may
     /// have been told.
+    ///
+    /// Whoever opened the id writes no outcome before a majority took the opening: several may open one id at
+    /// once without asking first, a majority takes the opening of one of them at the most, and so no two
+    /// outcomes of the lowest round can stand beside each other.
     pub fn settle(&mut self, outcome: Arc<[u8]>) {
-        if self.standing == Standing::Acting && self.outcome_at.is_none() {
+        if self.standing != Standing::Acting || self.outcome_at.is_some() {
+            return;
+        }
+        if self.opens && 2 * self.acks.len() <= self.keepers.len() {
+            self.pending = Some(outcome);
+        } else {
             let outcome = self.found.take().map_or(outcome, |(_, found)| found);
             self.written.outcome = Some(outcome);
             self.version += 1;
@@ -894,6 +921,9 @@
                     let held = self.acks.entry(from).or_insert(0);
                     *held = (*held).max(version);
                     self.abstained.remove(&from);
+                    if let Some(outcome) = self.pending.take() {
+                        self.settle(outcome);
+                    }
                 }
                 None
             }
--- a/crates/fleet/src/takeover.rs
+++ b/crates/fleet/src/takeover.rs
@@ -8,6 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::register::{
     keepers, Abstains, Actor, Ballot, Bounds, Epochs, Id, Keeper, Lives, Mark, Meeting, Opened, Order,
     Record, Standing, Word,
@@ -15,7 +17,7 @@
 use crate::{Incarnation, Micros, PeerId};
 
 /// Between processes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Note {
     /// To a keeper.
     Order(Order),
@@ -66,7 +68,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Wish {
     /// To be sent to a peer.
-    Tell(PeerId, Note),
+    Tell(PeerId, Box<Note>),
     /// An attempt has leave to be sent, or never will have.
     Leave {
         /// The id.
@@ -215,7 +217,7 @@
             self.epochs.remove(&peer);
         }
         self.away.remove(&peer);
-        self.wishes.push(Wish::Tell(peer, Note::Meet(self.life())));
+        self.wishes.push(Wish::Tell(peer, Box::new(Note::Meet(self.life()))));
         if before.is_some_and(|before| before != life) {
             self.look(now, peer);
         }
@@ -272,7 +274,7 @@
         if to == self.setup.me {
             self.note(now, to, note);
         } else {
-            self.wishes.push(Wish::Tell(to, note));
+            self.wishes.push(Wish::Tell(to, Box::new(note)));
         }
     }
 
@@ -664,14 +666,15 @@
             let (life, epoch) = (self.life(), self.keeper.as_ref().map_or(0, Keeper::epoch));
             self.epochs.insert(self.setup.me, epoch);
             let others: Vec<PeerId> = self.lives.keys().copied().filter(|p| *p != self.setup.me).collect();
-            self.wishes.extend(others.into_iter().map(|to| Wish::Tell(to, Note::Epoch(life, epoch))));
+            self.wishes
+                .extend(others.into_iter().map(|to| Wish::Tell(to, Box::new(Note::Epoch(life, epoch)))));
         }
         let Some(keeper) = &self.keeper else { return };
         let (life, unmet) = (keeper.life(), keeper.unmet());
         let records: BTreeMap<Id, bool> =
             keeper.open().map(|(id, record)| (Arc::clone(id), record.left || self.is_away(record))).collect();
         for to in unmet {
-            self.wishes.push(Wish::Tell(to, Note::Meet(life)));
+            self.wishes.push(Wish::Tell(to, Box::new(Note::Meet(life))));
         }
         self.watched.retain(|id, _| records.contains_key(id));
         self.asking.retain(|id, _| records.contains_key(id));
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -87,6 +87,12 @@
         if let Some(fleet) = fleet {
             let room = fleet.room(config.links.sockets, config.memory);
             let room = room.map_err(|e| format!("{path}: fleet.peers.list is too long: {e}"))?;
+            let flight = &config.flight;
+            if fleet.handover.is_some() && (flight.every_host || !flight.hosts.is_empty()) {
+                return Err(
+                    "fleet.handover is set beside flight.hosts: records hold no tables yet".to_owned()
+                );
+            }
             config.fleet = Some((fleet, room));
         }
         Ok(config)
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -6,7 +6,8 @@
 //!                                             {"name": "n2", "address": "127.0.0.1:7402"},
 //!                                             {"name": "n3", "address": "127.0.0.1:7403"}]},
 //!            "pace": {"probe_ms": 200, "answer_ms": 100, "doubt_ms": 1500},
-//!            "bounds": {"queue_kb": 256, "messages_a_second": 2000}}}
+//!            "bounds": {"queue_kb": 256, "messages_a_second": 2000},
+//!            "handover": {"life_ms": 10000}}}
 //! ```
 
 use std::collections::BTreeMap;
@@ -47,6 +48,8 @@
     pub queue: Option<usize>,
     /// Most messages taken from one peer in a second.
     pub rate: Option<u64>,
+    /// Queries with an effect are taken over, and this long an id may be asked again; off where there is none.
+    pub handover: Option<u64>,
 }
 
 /// Longest name of a gatherer.
@@ -67,7 +70,7 @@
     /// # Errors
     /// One line that names the file, the key and what was expected.
     pub(crate) fn read(section: &Value, path: &str, name: Option<&str>) -> Result<Self, String> {
-        let known = ["name", "listen", "peers", "group", "anywhere", "pace", "bounds"];
+        let known = ["name", "listen", "peers", "group", "anywhere", "pace", "bounds", "handover"];
         let part = Part::new(section, path, "fleet", &known)?;
         let own = part.text("name")?.or(name).ok_or_else(|| part.bad("name", "is missing"))?;
         let anywhere = match section.get("anywhere") {
@@ -145,7 +148,12 @@
         };
         let queue = bound("queue_kb", 16)?.map(|kb| kb as usize * 1024);
         let rate = bound("messages_a_second", 100)?;
-        Ok(Self { me, listen, peers, version, group, pace, queue, rate })
+        let handover = part.value("handover").map(|value| {
+            let part = Part::new(value, path, "fleet.handover", &["life_ms"])?;
+            part.number("life_ms", Some(10_000), 1_000..=600_000).map(|ms| ms * 1000)
+        });
+        let handover = handover.transpose()?;
+        Ok(Self { me, listen, peers, version, group, pace, queue, rate, handover })
     }
 
     /// What the links may hold, of what the process may.
