--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -19,6 +19,8 @@
 
 use crate::timeline::Timeline;
 
+/// How long an id may be asked again, where queries are taken over: longer than a client waits.
+pub const LIFE_MS: u64 = 4000;
 /// Only a trial that fails waits for so long.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -84,6 +86,8 @@
     pub versions: Vec<u64>,
     /// Whether they are linked at all.
     pub linked: bool,
+    /// Whether queries with an effect are taken over.
+    pub handover: bool,
     /// For the faults' draws.
     pub seed: u64,
 }
@@ -195,9 +199,12 @@
             .map(|to| json!({"name": self.names[to], "address": address(to).to_string()}))
             .collect();
         let group = [1, 1, 1, 3, 3, 5][self.names.len().min(5)];
-        json!({"log": {"format": "json"},
-               "fleet": {"name": self.names[at], "listen": "127.0.0.1:0", "group": group,
-                         "peers": {"version": self.setup.versions[at], "list": list}}})
+        let mut fleet = json!({"name": self.names[at], "listen": "127.0.0.1:0", "group": group,
+                               "peers": {"version": self.setup.versions[at], "list": list}});
+        if self.setup.handover {
+            fleet["handover"] = json!({"life_ms": LIFE_MS});
+        }
+        json!({"log": {"format": "json"}, "fleet": fleet})
     }
 
     /// Starts the process of that place and lets the relays lead to it.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -44,6 +44,9 @@
         /// How many processes.
         #[arg(long, default_value_t = 5)]
         processes: usize,
+        /// Holds are taken over, and asked for again.
+        #[arg(long)]
+        handover: bool,
         /// Plays so many at a time.
         #[arg(long, default_value_t = 1)]
         jobs: usize,
@@ -117,15 +120,16 @@
             }
             Ok(passed)
         }
-        Fleet::Replay { seed, count, processes, jobs, show } => {
+        Fleet::Replay { seed, count, processes, handover, jobs, show } => {
             let mut seeds = seed..seed + count;
             let mut tasks = tokio::task::JoinSet::new();
             let (mut passed, mut failed) = (true, Vec::new());
             loop {
                 while tasks.len() < jobs.max(1) {
                     let Some(seed) = seeds.next() else { break };
-                    tasks
-                        .spawn(async move { (seed, trial::run(&Plan::random(seed, processes), seed).await) });
+                    tasks.spawn(async move {
+                        (seed, trial::run(&Plan::random(seed, processes, handover), seed).await)
+                    });
                 }
                 let Some(done) = tasks.join_next().await else { break };
                 let (seed, outcome) = done.map_err(|e| e.to_string())?;
@@ -148,7 +152,7 @@
             Ok(true)
         }
         Fleet::Show { seed, processes } => {
-            println!("{}", pretty(&Plan::random(seed, processes))?);
+            println!("{}", pretty(&Plan::random(seed, processes, false))?);
             Ok(true)
         }
         Fleet::Schema => {
@@ -211,7 +215,7 @@
 /// Plays ever smaller plans as long as they fail.
 async fn shrink(plan: &str, processes: usize, tries: usize) -> Result<bool, String> {
     let (mut plan, seed) = match plan.parse::<u64>() {
-        Ok(seed) => (Plan::random(seed, processes), seed),
+        Ok(seed) => (Plan::random(seed, processes, false), seed),
         Err(_) => (read(Path::new(plan))?, 1),
     };
     if trial::run(&plan, seed).await?.verdict.passed() {
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -48,6 +48,7 @@
         memory_mb: 64,
         versions: vec![1; processes],
         linked,
+        handover: false,
         seed: 11,
     }
 }
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -23,12 +23,18 @@
     /// Queries a second, for each process.
     #[serde(default = "usual_load")]
     pub load: u32,
+    /// How long a host takes for a part.
+    #[serde(default = "usual_work")]
+    pub work_ms: u64,
     /// The limits that each process is told and has.
     #[serde(default)]
     pub limits: Limits,
     /// Processes whose list has another version than 1.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub lists: Vec<List>,
+    /// Holds are taken over by another gatherer, and clients whose gatherer was lost ask for theirs again.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub handover: bool,
     /// What is wrong on purpose, so that a rule has something to catch.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub planted: Option<Planted>,
@@ -40,6 +46,10 @@
     3
 }
 
+fn usual_work() -> u64 {
+    2
+}
+
 fn usual_load() -> u32 {
     10
 }
@@ -269,6 +279,9 @@
         if !(1..=8).contains(&self.hosts) {
             return Err(format!("hosts is {}, not 1 to 8", self.hosts));
         }
+        if self.work_ms > 2000 {
+            return Err(format!("work_ms is {}, not up to 2000", self.work_ms));
+        }
         if self.load > 500 {
             return Err(format!("load is {}, not up to 500", self.load));
         }
@@ -378,10 +391,14 @@
 
     /// A plan with faults drawn by a seed, which ends with all of them mended and everybody back.
     #[must_use]
-    pub fn random(seed: u64, processes: usize) -> Self {
+    pub fn random(seed: u64, processes: usize, handover: bool) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut lives = Lives::default();
         let mut steps = vec![Step::Linked(all())];
+        if handover {
+            // All started at once: keepers give no word before that.
+            steps.push(Step::PassMs(2 * crate::fleet::LIFE_MS + 500));
+        }
         let one = |at: usize| Who::One(format!("n{}", at + 1));
         let mut faulty = false;
         for _ in 0..rng.usize(4..=9) {
@@ -432,8 +449,10 @@
             processes,
             hosts: usual_hosts(),
             load: usual_load(),
+            work_ms: if handover { 30 } else { usual_work() },
             limits: Limits::default(),
             lists: Vec::new(),
+            handover,
             planted: None,
             steps,
         }
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -55,9 +55,12 @@
         memory_mb: plan.limits.memory_mb,
         versions,
         linked: true,
+        handover: plan.handover,
         seed,
     };
     let fleet = Fleet::start(setup).await.map_err(|e| e.to_string())?;
+    let work = Duration::from_millis(plan.work_ms);
+    fleet.hosts.iter().for_each(|host| host.change(|manner| manner.work = work));
     if plan.planted == Some(Planted::DoubleRuns) {
         fleet.hosts.iter().for_each(|host| host.change(|manner| manner.doubles = true));
     }
@@ -115,6 +118,7 @@
         rules: rules::judge(&history, &limits),
         asked: history.asked.len(),
         lost: rules::lost(&history),
+        taken_over: rules::taken_over(&history),
         answers,
         seconds: began.elapsed().as_secs_f64(),
     };
@@ -452,7 +456,7 @@
             let (answered, open) = (load.answered.clone(), load.open.clone());
             let (name, notes, logs) = (fleet.names[at].clone(), fleet.notes.clone(), fleet.logs.clone());
             let pause = Duration::from_micros(1_000_000 / u64::from(plan.load));
-            let planted = plan.planted;
+            let (planted, again, names) = (plan.planted, plan.handover, fleet.names.clone());
             load.tasks.push(tokio::spawn(async move {
                 let mut number = at as u64;
                 while !stopped.load(Ordering::Relaxed) {
@@ -463,9 +467,24 @@
                     open.fetch_add(1, Ordering::Relaxed);
                     let (answered, open, logs) = (answered.clone(), open.clone(), logs.clone());
                     let (name, notes) = (name.clone(), notes.clone());
+                    let (addresses, names) = (addresses.clone(), names.clone());
                     tokio::spawn(async move {
                         let id = query.id.clone();
-                        clients::ask(addr, name, query, effect, notes.clone()).await;
+                        let mut whole = clients::ask(addr, name, query.clone(), effect, notes.clone()).await;
+                        // A client whose gatherer was lost asks for its hold again, at others in turn.
+                        let mut tries = if effect && again { 40 } else { 0 };
+                        let mut next = at;
+                        while !whole && tries > 0 {
+                            tries -= 1;
+                            next = (next + 1) % names.len();
+                            let addr = held(&addresses)[next];
+                            let Some(addr) = addr else {
+                                tokio::time::sleep(Duration::from_millis(20)).await;
+                                continue;
+                            };
+                            let (name, notes) = (names[next].clone(), notes.clone());
+                            whole = clients::ask_as(addr, name, query.clone(), (true, true), notes).await;
+                        }
                         if number % 50 == 7 {
                             spoil(planted, &id, &notes);
                         }
--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -18,6 +18,8 @@
     pub asked: usize,
     /// Queries whose gatherer was killed before it answered.
     pub lost: usize,
+    /// Holds among them that were asked again elsewhere, of which it was told how they ended, that were served.
+    pub taken_over: (usize, usize, usize),
     /// Answers, by status.
     pub answers: std::collections::BTreeMap<u16, usize>,
     /// Seconds that it took.
@@ -51,6 +53,12 @@
             self.lost,
             answers.join(", ")
         );
+        if let (again @ 1.., known, served) = self.taken_over {
+            let _ = writeln!(
+                out,
+                "  lost holds asked again {again}, told how they ended {known}, of these served {served}"
+            );
+        }
         for Finding { rule, looked_at, broken } in &self.rules {
             let state = if broken.is_empty() { "kept" } else { "BROKEN" };
             let _ = writeln!(out, "  {rule:<24} {looked_at:>7} looked at  {state}");
--- a/crates/lab/tests/trial.rs
+++ b/crates/lab/tests/trial.rs
@@ -55,8 +55,10 @@
         processes: 2,
         hosts: 2,
         load: 40,
+        work_ms: 2,
         limits: mallowgauge_lab::plan::Limits { cold_parts: 5, ..Default::default() },
         lists: Vec::new(),
+        handover: false,
         planted: Some(planted),
         steps,
     };
@@ -138,9 +140,9 @@
 #[test]
 fn plans_of_seeds_make_sense_and_so_do_smaller_ones() {
     for seed in 0..300 {
-        let plan = Plan::random(seed, 5);
+        let plan = Plan::random(seed, 5, seed % 2 == 0);
         plan.check().expect("a plan that makes sense");
-        assert_eq!(Plan::random(seed, 5), plan, "the same each time");
+        assert_eq!(Plan::random(seed, 5, seed % 2 == 0), plan, "the same each time");
         let text = serde_json::to_string(&plan).expect("JSON");
         assert_eq!(Plan::read(&text), Ok(plan.clone()));
         for smaller in plan.smaller() {
--- a/crates/testkit/src/trial/clients.rs
+++ b/crates/testkit/src/trial/clients.rs
@@ -25,9 +25,23 @@
 }
 
 /// Asks one query and writes down what came of it.
-pub async fn ask(addr: SocketAddr, process: String, query: Query, effect: bool, notes: Notebook) {
+///
+/// `true` if a whole response came.
+pub async fn ask(addr: SocketAddr, process: String, query: Query, effect: bool, notes: Notebook) -> bool {
+    ask_as(addr, process, query, (effect, false), notes).await
+}
+
+/// The same, marked as a further try if it is one.
+pub async fn ask_as(
+    addr: SocketAddr,
+    process: String,
+    query: Query,
+    (effect, again): (bool, bool),
+    notes: Notebook,
+) -> bool {
     let (at, wait) = (notes.now(), query.ms * 1000);
-    let asked = Asked { id: query.id.clone(), effect, process, at, wait, ends: Vec::new() };
+    let asked =
+        Asked { id: query.id.clone(), effect, process, at, wait, ends: Vec::new(), said: String::new() };
     let place = {
         let mut history = notes.history();
         history.asked.push(asked);
@@ -35,19 +49,22 @@
     };
     // Far beyond any verdict: an answer that comes then is late by the rules.
     let patience = Duration::from_micros(wait) + Duration::from_secs(30);
-    let ends = match tokio::time::timeout(patience, exchange(addr, &query)).await {
-        Ok(ends) => ends,
-        Err(_) => Vec::new(),
-    };
+    let exchange = exchange(addr, &query, again);
+    let (ends, said) = tokio::time::timeout(patience, exchange).await.unwrap_or_default();
     let now = notes.now();
-    notes.history().asked[place].ends = ends.into_iter().map(|end| (now, end)).collect();
+    let whole = matches!(ends[..], [End::Answer(_)]);
+    let asked = &mut notes.history().asked[place];
+    (asked.ends, asked.said) = (ends.into_iter().map(|end| (now, end)).collect(), said);
+    whole
 }
 
-async fn exchange(addr: SocketAddr, query: &Query) -> Vec<End> {
+async fn exchange(addr: SocketAddr, query: &Query, again: bool) -> (Vec<End>, String) {
     let mut text = Vec::new();
     let read = async {
         let mut socket = TcpStream::connect(addr).await?;
-        socket.write_all(plain::request(query).as_bytes()).await?;
+        let mark = if again { "Req-Retry: 1\r\nContent-Length" } else { "Content-Length" };
+        let request = plain::request(query).replacen("Content-Length", mark, 1);
+        socket.write_all(request.as_bytes()).await?;
         socket.read_to_end(&mut text).await
     };
     let broken = read.await.err();
@@ -55,7 +72,9 @@
     if let (true, Some(e)) = (ends.is_empty(), broken) {
         ends.push(End::Broken(e.to_string()));
     }
-    ends
+    let text = String::from_utf8_lossy(&text);
+    let said = text.split_once("\r\n\r\n").map_or(String::new(), |(_, body)| body.to_owned());
+    (ends, said)
 }
 
 /// The whole responses in what a connection gave, and what is left over.
--- a/crates/testkit/src/trial/rules.rs
+++ b/crates/testkit/src/trial/rules.rs
@@ -25,6 +25,8 @@
     pub wait: u64,
     /// Each response that came, in order; there has to be one.
     pub ends: Vec<(u64, End)>,
+    /// What the first one said.
+    pub said: String,
 }
 
 /// A part that a host was sent.
@@ -95,6 +97,7 @@
     vec![
         answers(history, limits),
         effects(history),
+        outcomes(history),
         drains(history, limits),
         colds(history, limits),
         bounds(history, limits),
@@ -157,6 +160,37 @@
     Finding { rule: "an effect once", looked_at: effects.len(), broken: twice.collect() }
 }
 
+/// Everybody who asks for an id is told the same: refusals and unknown ends are none.
+fn outcomes(history: &History) -> Finding {
+    let mut told: BTreeMap<&str, BTreeSet<(u16, &str)>> = BTreeMap::new();
+    for asked in history.asked.iter().filter(|asked| asked.effect) {
+        if let [(_, End::Answer(status @ (200 | 502)))] = asked.ends[..] {
+            told.entry(&asked.id).or_default().insert((status, &asked.said));
+        }
+    }
+    let two = told.iter().filter(|(_, told)| told.len() > 1);
+    let broken = two.map(|(id, told)| format!("{id} was told {told:?}")).collect();
+    Finding { rule: "one outcome", looked_at: told.len(), broken }
+}
+
+/// Of the ids whose first gatherer was lost before it answered: how many were asked again elsewhere, of how many
+/// it was told how they ended, and how many of these were served.
+pub fn taken_over(history: &History) -> (usize, usize, usize) {
+    let lost: BTreeSet<&str> =
+        history.asked.iter().filter(|a| a.effect && is_lost(history, a)).map(|a| &*a.id).collect();
+    let (mut again, mut known, mut served) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
+    for asked in history.asked.iter().filter(|a| lost.contains(&*a.id) && !is_lost(history, a)) {
+        again.insert(&*asked.id);
+        if let [(_, End::Answer(status @ (200 | 502)))] = asked.ends[..] {
+            known.insert(&*asked.id);
+            if status == 200 {
+                served.insert(&*asked.id);
+            }
+        }
+    }
+    (again.len(), known.len(), served.len())
+}
+
 fn drains(history: &History, limits: &Limits) -> Finding {
     let late = history.drains.iter().filter_map(|(told, process, host)| {
         let until = told + limits.drain;
