Satisfy clippy over the whole workspace

Cause: lints of the tests and the lab (dropped copies, large variants, a checked division). Change: no behaviour. Measured: clippy with warnings denied is silent.

--- a/crates/fleet/tests/register.rs
+++ b/crates/fleet/tests/register.rs
@@ -125,10 +125,14 @@
     assert_eq!(why(keeper.order(0, open("e", ballot(0, 9), 5))), Some(Abstains::Full));
     keeper.tidy(LIFE);
     assert_eq!(why(keeper.order(LIFE, open_in(1, "e", ballot(0, 9), 5))), Some(Abstains::Full));
-    (2..4).for_each(|times| drop(keeper.tidy(times * LIFE)));
+    for times in 2..4 {
+        keeper.tidy(times * LIFE);
+    }
     assert!(matches!(keeper.order(3 * LIFE, open_in(3, "e", ballot(0, 9), 5)), Some(Word::Done { .. })));
     assert!(keeper.record("b").is_none() && keeper.record("a").is_some());
-    (4..20).for_each(|times| drop(keeper.tidy(times * LIFE)));
+    for times in 4..20 {
+        keeper.tidy(times * LIFE);
+    }
     assert_eq!(keeper.open().count(), 4);
 }
 
--- a/crates/fleet/tests/register_model.rs
+++ b/crates/fleet/tests/register_model.rs
@@ -72,7 +72,7 @@
 enum Act {
     /// A client asks, or somebody takes over.
     Start(usize),
-    Deliver(Packet),
+    Deliver(Box<Packet>),
     /// The attempt leaves for the host: any time after leave was given.
     Send(usize),
     /// The owner has something to send.
@@ -166,6 +166,26 @@
         keepers().into_iter().map(order).collect()
     }
 
+    fn deliver(&self, world: &mut World, packet: Packet) -> Option<()> {
+        match packet {
+            Packet::Order(from, to, order) => {
+                let word = world.keepers[to].order(0, order);
+                world.wire.extend(word.map(|word| Packet::Word(to, from, word)));
+            }
+            Packet::Word(from, to, word) => {
+                let said = Self::said(world, to);
+                world.actors[to].as_mut()?.word(PeerId(from as u16), word);
+                self.drive(world, to, &said);
+            }
+            Packet::Meet(from, to, life) => {
+                let meeting = world.keepers[to].meet(0, PeerId(from as u16), life);
+                world.wire.insert(Packet::Meeting(from, meeting));
+            }
+            Packet::Meeting(to, meeting) => world.keepers[to].met(meeting),
+        }
+        Some(())
+    }
+
     fn may_send(&self, world: &World, at: usize) -> bool {
         let (Some(actor), Some(mark)) = (&world.actors[at], world.marks[at]) else { return false };
         !world.sent[at]
@@ -210,7 +230,7 @@
                 actions.push(Act::Send(at));
             }
         }
-        actions.extend(world.wire.iter().cloned().map(Act::Deliver));
+        actions.extend(world.wire.iter().cloned().map(Box::new).map(Act::Deliver));
         if self.lazy && !world.ready && world.actors[0].is_some() {
             actions.push(Act::Ready);
         }
@@ -222,7 +242,7 @@
     fn next_state(&self, before: &World, act: Act) -> Option<World> {
         let mut world = before.clone();
         if let (Act::Deliver(packet), false) = (&act, self.doubling) {
-            world.wire.remove(packet);
+            world.wire.remove(&**packet);
         }
         match act {
             Act::Start(at) => {
@@ -254,20 +274,7 @@
                 world.sent[at] = true;
                 self.drive(&mut world, at, &said);
             }
-            Act::Deliver(Packet::Order(from, to, order)) => {
-                let word = world.keepers[to].order(0, order);
-                world.wire.extend(word.map(|word| Packet::Word(to, from, word)));
-            }
-            Act::Deliver(Packet::Word(from, to, word)) => {
-                let said = Self::said(&world, to);
-                world.actors[to].as_mut()?.word(PeerId(from as u16), word);
-                self.drive(&mut world, to, &said);
-            }
-            Act::Deliver(Packet::Meet(from, to, life)) => {
-                let meeting = world.keepers[to].meet(0, PeerId(from as u16), life);
-                world.wire.insert(Packet::Meeting(from, meeting));
-            }
-            Act::Deliver(Packet::Meeting(to, meeting)) => world.keepers[to].met(meeting),
+            Act::Deliver(packet) => self.deliver(&mut world, *packet)?,
             Act::Ready => {
                 let said = Self::said(&world, 0);
                 world.ready = true;
@@ -433,8 +440,8 @@
         }
         world.sent.iter().filter(|sent| **sent).count()
     };
-    let order = |from: usize, to: usize| move |act: &Act| matches!(act, Act::Deliver(Packet::Order(f, t, _)) if (*f, *t) == (from, to));
-    let word = |from: usize, to: usize| move |act: &Act| matches!(act, Act::Deliver(Packet::Word(f, t, _)) if (*f, *t) == (from, to));
+    let order = |from: usize, to: usize| move |act: &Act| matches!(act, Act::Deliver(p) if matches!(**p, Packet::Order(f, t, _) if (f, t) == (from, to)));
+    let word = |from: usize, to: usize| move |act: &Act| matches!(act, Act::Deliver(p) if matches!(**p, Packet::Word(f, t, _) if (f, t) == (from, to)));
     step(&|act| *act == Act::Start(0));
     for keeper in 0..KEEPERS {
         step(&order(0, keeper));
@@ -445,7 +452,7 @@
     step(&word(0, 0));
     step(&|act| *act == Act::Crash(0));
     for _ in 0..4 {
-        step(&|act| matches!(act, Act::Deliver(Packet::Meet(..) | Packet::Meeting(..))));
+        step(&|act| matches!(act, Act::Deliver(p) if matches!(**p, Packet::Meet(..) | Packet::Meeting(..))));
     }
     step(&order(0, 1));
     step(&word(1, 0));
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -81,7 +81,7 @@
         let all = file(&path)?;
         let own = own_name(&all, &variable);
         let read = |path| operator::read(&file(path)?, path, own.as_deref());
-        let mut operator = operator.map_or_else(|| Ok(Operator::default()), |path| read(path))?;
+        let mut operator = operator.map_or_else(|| Ok(Operator::default()), read)?;
         let fleet = operator.fleet.take();
         let mut config = Self::read(&all, variable, operator).map_err(|e| format!("{path}: {e}"))?;
         if let Some(fleet) = fleet {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -113,7 +113,7 @@
         let me = *names.get(own).ok_or_else(|| part.bad("name", &format!("is {own:?}, not in the list")))?;
         let usual = if peers.len() < 3 { 1 } else { 3 };
         let group = part.number("group", Some(usual), 1..=MOST as u64)? as usize;
-        if group % 2 == 0 {
+        if group.is_multiple_of(2) {
             return Err(part.bad("group", &format!("is {group}, not an odd number")));
         }
         if group > peers.len() {
--- a/crates/testkit/src/trial/relay.rs
+++ b/crates/testkit/src/trial/relay.rs
@@ -264,8 +264,8 @@
             return;
         }
         let rate = flow.fault().bytes_a_second;
-        if rate > 0 {
-            tokio::time::sleep(Duration::from_micros(part.len() as u64 * 1_000_000 / rate)).await;
+        if let Some(time) = (part.len() as u64 * 1_000_000).checked_div(rate) {
+            tokio::time::sleep(Duration::from_micros(time)).await;
         }
     }
 }
