--- a/crates/mallowgauge/tests/promises.rs
+++ b/crates/mallowgauge/tests/promises.rs
@@ -264,9 +264,10 @@
     start("/fleet/pace", json!({"probe_ms": 1}));
     start("/fleet/bounds", json!({"queue_kb": 1}));
     start("/fleet/listen", json!("nowhere"));
+    start("/fleet/handover", json!({"life_ms": 1}));
     assert_snapshot!(said.join("\n"), @r#"
     Some(1) fleet.name is "n9", not in the list
-    Some(1) fleet.nmae is not known; there is name, listen, peers, group, anywhere, pace, bounds
+    Some(1) fleet.nmae is not known; there is name, listen, peers, group, anywhere, pace, bounds, handover
     Some(1) fleet.peers.version is not a whole number from 1 to 4294967295
     Some(1) fleet.peers.list holds 0, not 1 to 512 peers
     Some(1) fleet.peers.list.address of entry 2 is 127.0.0.1:7401, which an entry before it has
@@ -278,6 +279,7 @@
     Some(1) fleet.pace.probe_ms is not a whole number from 10 to 60000
     Some(1) fleet.bounds.queue_kb is not a whole number from 16 to 1000000
     Some(1) fleet.listen nowhere is not an address with a port
+    Some(1) fleet.handover.life_ms is not a whole number from 1000 to 600000
     "#);
 }
 
