--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -36,9 +36,7 @@
 fn write(ask: &Ask, left: Micros) -> Arc<[u8]> {
     let parts: Vec<(u32, f64)> = ask.parts.iter().map(|part| (part.shard.0, part.weight)).collect();
     let body = postcard::to_stdvec(&(ask.class.0 as u32, &*ask.text, &parts)).unwrap_or_default();
-    let digest = body.iter().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
-    });
+    let digest = mallowgauge_fleet::digest(body);
     let asked = Asked { class: ask.class.0 as u32, left, text: ask.text.to_vec(), parts };
     // Who takes over cannot plan phases anew: of these it only learns whether something may have run.
     let asked = if ask.plan.is_some() { None } else { postcard::to_stdvec(&asked).ok() };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,3 +36,11 @@
         write!(f, "{}/{:08x}", self.number, self.nonce >> 32)
     }
 }
+
+/// A number that tells apart what was mixed up (FNV-1a); it does not withstand anybody who means harm.
+#[must_use]
+pub fn digest(bytes: impl IntoIterator<Item = u8>) -> u64 {
+    bytes
+        .into_iter()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -91,10 +91,7 @@
     #[must_use]
     pub fn new(names: Vec<String>, me: PeerId, version: u64) -> Self {
         let bytes = names.iter().flat_map(|name| name.bytes().chain([0]));
-        // FNV-1a: it has to tell lists apart that were mixed up, not to withstand anybody.
-        let digest = bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
+        let digest = crate::digest(bytes);
         Self { names, me, version, digest }
     }
 
--- a/crates/fleet/src/register.rs
+++ b/crates/fleet/src/register.rs
@@ -84,6 +84,14 @@
     pub opened: Opened,
 }
 
+impl Record {
+    /// Nothing was written yet.
+    fn new(promised: Ballot, asked: Arc<[u8]>, opened: Opened) -> Self {
+        let (intents, voids, outcome) = (BTreeSet::new(), BTreeSet::new(), None);
+        Self { promised, asked, intents, voids, outcome, settled: false, left: false, opened }
+    }
+}
+
 /// Lives of keepers that a word counts on.
 pub type Lives = BTreeMap<PeerId, Incarnation>;
 
@@ -276,9 +284,7 @@
 pub fn keepers(id: &str, peers: usize, group: usize) -> Vec<PeerId> {
     let hash = |peer: u16| {
         let bytes = id.bytes().chain([0]).chain(peer.to_be_bytes());
-        let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
+        let hash = crate::digest(bytes);
         // The last bytes reach the high bits only by this.
         let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
         mixed ^ (mixed >> 33)
@@ -503,17 +509,7 @@
                 if !self.has_room(asked.len()) {
                     return Some(self.abstain(id, ballot, Abstains::Full));
                 }
-                let (intents, voids) = (BTreeSet::new(), BTreeSet::new());
-                let record = Record {
-                    promised: ballot,
-                    asked,
-                    intents,
-                    voids,
-                    outcome: None,
-                    settled: false,
-                    left: false,
-                    opened,
-                };
+                let record = Record::new(ballot, asked, opened);
                 self.bytes += size(&record);
                 self.records.insert(Arc::clone(&id), record);
                 Some(self.write(id, ballot, &written, version))
@@ -556,18 +552,7 @@
                             return Some(self.abstain(id, ballot, Abstains::Full));
                         }
                         // Nothing was written here, and nothing will be under a lower ballot.
-                        let (intents, voids) = (BTreeSet::new(), BTreeSet::new());
-                        let asked: Arc<[u8]> = Arc::from([]);
-                        let promised = Record {
-                            promised: ballot,
-                            asked,
-                            intents,
-                            voids,
-                            outcome: None,
-                            settled: false,
-                            left: false,
-                            opened,
-                        };
+                        let promised = Record::new(ballot, Arc::from([]), opened);
                         self.bytes += size(&promised);
                         self.records.insert(Arc::clone(&id), promised);
                         Some(Word::Promised { id, ballot, life, record: None })
