Reset the link of a peer that does not read, in the place of leaving it to the system

Seen: trials/deaf.json failed since links take 20,000 messages a second: the peer was not closed within 25 s. /proc showed n1 with as few descriptors as its peers, and its socket in FIN_WAIT1 with 63 KB unsent: the end waited behind bytes for a peer that never reads, and n1 had read all, so that no reset was due.

Lines: Peers::end dropped the socket as it was. Change: Stream::abort where bytes stand still.

--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -616,6 +616,10 @@
             return;
         }
         let broken = matches!(end, End::Broken(_));
+        if link.stuck.is_some() {
+            // A peer that never reads would keep what waits for it, and the connection, in the system for long.
+            link.stream.abort();
+        }
         let was_up = self.links.get(&id).is_some_and(|link| matches!(link.phase, Phase::Up(_)));
         let peer = self.detach(now, id, broken);
         self.links.remove(&id);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -258,6 +258,12 @@
         let _ = socket2::SockRef::from(&*self.socket).set_send_buffer_size(bytes);
     }
 
+    /// Closing is a reset from now on: what the other side has not taken is dropped, and not held for it.
+    pub fn abort(&self) {
+        // Where it cannot be set, the system gives the rest up by itself after a while.
+        let _ = socket2::SockRef::from(&*self.socket).set_linger(Some(std::time::Duration::ZERO));
+    }
+
     /// Says to the other side that nothing more will be written.
     pub fn finish(&self) {
         // An error means that the other side has gone already.
