Keep nobody waiting for the end of a query that was taken over, and find links in one place

Found on rereading: Handover::record put the asker of an adopted query, which is nobody here, into waiting, and kept the id in sent; no end is told for these (Desk tells it only where somebody waits), so both maps grew with every adoption. Change: nobody is not waited for. The look for a member's link, written four times in peers, is one function.

No test counts the two maps yet.

--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -154,7 +154,14 @@
             self.sent.remove(&id);
             return askers.into_iter().map(|asker| Task::Reply(asker, answer.clone())).collect();
         }
-        self.waiting.entry(Rc::clone(&id)).or_default().extend(askers);
+        let here = askers.into_iter().filter(|asker| !matches!(asker, Asker::Adopted(_)));
+        let here: Vec<Asker> = here.collect();
+        if here.is_empty() && !self.waiting.contains_key(&id) {
+            // Taken over, and nobody here is told of its end: nothing would ever take these out again.
+            self.sent.remove(&id);
+        } else {
+            self.waiting.entry(Rc::clone(&id)).or_default().extend(here);
+        }
         let ended = ended(&answer, touched);
         peers.desk(now, |desk| desk.finish(now, &Arc::from(&*id), ended));
         Vec::new()
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -262,7 +262,7 @@
             for wish in wishes {
                 match wish {
                     Wish::Tell(to, note) => {
-                        let id = self.of.get(usize::from(to.0)).copied().flatten();
+                        let id = self.link(to);
                         id.into_iter().for_each(|id| self.say(now, id, &Said::Note(note.clone())));
                     }
                     wish => self.wishes.push(wish),
@@ -275,14 +275,19 @@
         self.due = links.chain(rest.into_iter().flatten()).min();
     }
 
+    /// The link to a member, if there is one.
+    fn link(&self, peer: PeerId) -> Option<u64> {
+        self.of.get(usize::from(peer.0)).copied().flatten()
+    }
+
     fn order(&mut self, now: Micros, order: Order) {
         match order {
             Order::Send(to, message) => {
-                let id = self.of.get(usize::from(to.0)).copied().flatten();
+                let id = self.link(to);
                 id.into_iter().for_each(|id| self.say(now, id, &Said::Message(message.clone())));
             }
             Order::Relink(peer) => {
-                if let Some(id) = self.of.get(usize::from(peer.0)).copied().flatten() {
+                if let Some(id) = self.link(peer) {
                     self.end(now, id, End::Broken("it answers nothing".to_owned()));
                 }
             }
@@ -302,7 +307,7 @@
                 };
                 tracing::info!("peer {name} is {state}, life {incarnation}, says {by}");
                 // What an earlier life still sends counts for nothing.
-                let id = self.of.get(usize::from(about.0)).copied().flatten();
+                let id = self.link(about);
                 let old = |id: &u64| self.links.get(id).is_some_and(|link| link.life < incarnation);
                 if let Some(id) = id.filter(old) {
                     self.part(now, id, "a later life of it is known");
