Put hosts, discovery and clients into a test's hands, byte by byte

The scenario language plays stand-ins that run by themselves; here the test sends and waits for each byte itself.

Change: testkit/hand.rs: a program whose hosts and discovery are listeners of the test, with heads, frames, clean ends and resets by hand.

--- /dev/null
+++ b/crates/testkit/src/hand.rs
@@ -0,0 +1,239 @@
+//! Peers by hand: hosts, discovery and clients whose every byte is sent and waited for by the test, so that two
+//! events cross in the order that it says and not as the machine has it. Nothing here runs by itself.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use crate::plain::instance;
+use crate::{config, Program, PATIENCE};
+
+/// One end of a connection.
+pub struct Wire(pub TcpStream);
+
+/// A listener on a free port.
+pub fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+/// The next connection that the program opens to this listener.
+pub fn accept(listener: &TcpListener) -> Wire {
+    accept_within(listener, PATIENCE).expect("the program connects")
+}
+
+/// The next connection, if one comes within that time.
+pub fn accept_within(listener: &TcpListener, time: Duration) -> Option<Wire> {
+    listener.set_nonblocking(true).expect("a listener");
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        match listener.accept() {
+            Ok((socket, _)) => return Some(Wire::of(socket)),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => std::thread::sleep(Duration::from_millis(2)),
+            Err(e) => panic!("accepting: {e}"),
+        }
+    }
+    None
+}
+
+impl Wire {
+    fn of(socket: TcpStream) -> Self {
+        socket.set_nonblocking(false).expect("a socket");
+        socket.set_nodelay(true).expect("a socket");
+        socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Self(socket)
+    }
+
+    /// A client's connection.
+    pub fn dial(addr: SocketAddr) -> Self {
+        Self::of(TcpStream::connect(addr).expect("a connection"))
+    }
+
+    pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        self.0.write_all(bytes.as_ref()).expect("the program reads");
+    }
+
+    /// Reads up to and with the next empty line; panics if the connection ends before.
+    pub fn head(&mut self) -> String {
+        self.try_head().expect("a whole head")
+    }
+
+    /// As [`Wire::head`]; `None` if the connection ends before.
+    pub fn try_head(&mut self) -> Option<String> {
+        let (mut text, mut byte) = (Vec::new(), [0]);
+        while !text.ends_with(b"\r\n\r\n") {
+            match self.0.read(&mut byte) {
+                Ok(1) => text.push(byte[0]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => panic!("nothing came; so far {text:?}"),
+                _ => return None,
+            }
+        }
+        Some(String::from_utf8(text).expect("text"))
+    }
+
+    /// Reads a response with a length: its status and body. `None` if the connection ends before it is whole.
+    pub fn response(&mut self) -> Option<(u16, String)> {
+        let head = self.try_head()?;
+        let length = head.split_once("Content-Length: ").and_then(|(_, rest)| rest.split_once('\r'));
+        let mut body = vec![0; length.map_or(0, |(length, _)| length.parse().expect("a length"))];
+        self.0.read_exact(&mut body).ok()?;
+        let status = head.split(' ').nth(1).and_then(|word| word.parse().ok());
+        Some((status.expect("a status"), String::from_utf8(body).expect("text")))
+    }
+
+    /// The next frame: its letter and the rest. `None` if the connection ends before it is whole.
+    pub fn frame(&mut self) -> Option<(u8, String)> {
+        let mut head = [0; 5];
+        self.0
+            .read_exact(&mut head)
+            .map_err(|e| assert!(e.kind() != ErrorKind::WouldBlock, "no frame"))
+            .ok()?;
+        let mut rest = vec![0; u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize - 1];
+        self.0.read_exact(&mut rest).ok()?;
+        Some((head[4], String::from_utf8(rest).expect("text")))
+    }
+
+    /// The next call's parts; anything else that comes first is passed over.
+    pub fn call(&mut self) -> Vec<Part> {
+        loop {
+            match self.frame().expect("a call") {
+                (b'm', text) => return parts(&text),
+                (b'o', _) => self.send(frame(b'o', "good")),
+                _ => {}
+            }
+        }
+    }
+
+    /// Ends a part.
+    pub fn end(&mut self, part: &Part, end: &str, value: &str) {
+        self.send(frame(b'q', &format!("{} {end} 0 util=0.5\n{value}", part.id)));
+    }
+
+    /// Whether the other side closes or resets the connection, with nothing more to read before that.
+    pub fn closes(&mut self) -> bool {
+        match self.0.read(&mut [0; 1]) {
+            Ok(n) => n == 0,
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        }
+    }
+
+    /// Ends the connection with a reset, not a clean end.
+    pub fn reset(self) {
+        let linger = Some(Duration::ZERO);
+        socket2::SockRef::from(&self.0).set_linger(linger).expect("a socket");
+    }
+
+    /// Answers a call for the list with these hosts.
+    pub fn list(&mut self, generation: u64, whole: bool, instances: &[Value]) {
+        let body = list(generation, whole, instances);
+        self.send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+}
+
+/// A list of hosts as discovery words it.
+pub fn list(generation: u64, whole: bool, instances: &[Value]) -> String {
+    json!({"generation": generation, "reset": whole, "instances": instances}).to_string()
+}
+
+/// A part as a host got it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// The query's id, a dot and the shard.
+    pub id: String,
+    pub shard: u32,
+    /// How long the program said that it waits, in milliseconds.
+    pub wait: u64,
+}
+
+/// A frame as a host writes it.
+pub fn frame(letter: u8, rest: &str) -> Vec<u8> {
+    let length = u32::try_from(rest.len() + 1).expect("a short frame");
+    [&length.to_be_bytes()[..], &[letter], rest.as_bytes()].concat()
+}
+
+fn parts(mut text: &str) -> Vec<Part> {
+    let mut all = Vec::new();
+    while let Some((line, rest)) = text.split_once('\n') {
+        let words: Vec<&str> = line.split(' ').collect();
+        let wait = words[2].strip_prefix("d=").and_then(|ms| ms.parse().ok()).expect("a wait");
+        all.push(Part { id: words[0].to_owned(), shard: words[1].parse().expect("a shard"), wait });
+        text = &rest[words[3].parse::<usize>().expect("a length")..];
+    }
+    all
+}
+
+/// A query as an HTTP request on a connection that stays.
+pub fn query(id: &str, kind: &str, ms: u64, shards: &[u32]) -> String {
+    let portion = 1.0 / shards.len() as f64;
+    let ranges: Vec<Value> = shards.iter().map(|s| json!({"range": s, "portion": portion})).collect();
+    let body = json!({"ranges": ranges, "predicate": "c41e77d0"}).to_string();
+    format!(
+        "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\n\
+         Req-Deadline-Ms: {ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A program whose hosts and discovery are in the test's hands.
+pub struct Rig {
+    pub program: Program,
+    pub hosts: Vec<TcpListener>,
+    pub discovery: TcpListener,
+}
+
+impl Rig {
+    /// Starts it with so many hosts in the saved list; `change` has the last word on its configuration.
+    pub fn start(hosts: usize, change: impl FnOnce(&mut Value)) -> Self {
+        Self::within(hosts, 1024, change)
+    }
+
+    /// The same with so many descriptors.
+    pub fn within(hosts: usize, descriptors: u32, change: impl FnOnce(&mut Value)) -> Self {
+        let hosts: Vec<TcpListener> = (0..hosts).map(|_| listener()).collect();
+        let discovery = listener();
+        let addrs: Vec<SocketAddr> = hosts.iter().map(addr).collect();
+        let mut file = config(&addrs, addr(&discovery));
+        change(&mut file);
+        let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": []}});
+        Self { program: Program::start(&file, &operator, descriptors), hosts, discovery }
+    }
+
+    /// A host as discovery tells it.
+    pub fn instance(&self, host: usize, state: &str) -> Value {
+        instance(host, addr(&self.hosts[host]), state)
+    }
+
+    /// All hosts in one state.
+    pub fn instances(&self, state: &str) -> Vec<Value> {
+        (0..self.hosts.len()).map(|host| self.instance(host, state)).collect()
+    }
+
+    pub fn client(&self) -> Wire {
+        Wire::dial(self.program.http)
+    }
+
+    /// Waits until the program has written such a line.
+    pub fn expect_log(&self, text: &str) {
+        let until = Instant::now() + PATIENCE;
+        while !self.logged(text) {
+            assert!(Instant::now() < until, "no line {text}: {:#?}", self.program.log.lock());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Whether it has written such a line so far.
+    pub fn logged(&self, text: &str) -> bool {
+        self.program.log.lock().expect("a sound lock").iter().any(|line| line.contains(text))
+    }
+
+    /// Whether the program has ended with this code.
+    pub fn exits(&mut self) -> Option<i32> {
+        self.program.child.wait().expect("an exit code").code()
+    }
+}
+
+/// Where a listener stands.
+pub fn addr(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().expect("an address")
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -40,6 +40,7 @@
 
 pub mod columns;
 pub mod flight;
+pub mod hand;
 pub mod inner;
 pub mod plain;
 pub mod raw;
