Show that on every failing path the next call to discovery comes in time; check after a failure

Need: a change counts as told 6 s after discovery had it, whatever became of the calls in between.

After a failure the first call is one that need not wait (discovery.rs, fail), given up after 2.4 s.

--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -114,7 +114,8 @@
     /// The versions that discovery counts need not go on from the present one: it has moved, or told of an older
     /// one. The whole list is asked for first, and taken whatever its version.
     anew: bool,
-    /// The saved list has not been held against discovery's yet, and has to be before it is used.
+    /// The next watch begins with a call that need not wait: the saved list has to be held against discovery's
+    /// before it is used, or the call before failed. Silence shows sooner there than on one watch after the other.
     unchecked: bool,
 }
 
@@ -226,7 +227,7 @@
         (self.stream, self.dialing) = (None, false);
         (self.input, self.output) = (Vec::new(), Vec::new());
         self.call = None;
-        self.watching = false;
+        (self.watching, self.unchecked) = (false, true);
         News::Failed
     }
 
--- a/crates/edge/tests/discovery_timing.rs
+++ b/crates/edge/tests/discovery_timing.rs
@@ -108,9 +108,10 @@
         self.now
     }
 
-    /// Lets time pass until a call is under way.
+    /// Lets time pass until a call is under way, or was refused at once.
     fn calls(&mut self) -> Micros {
-        while self.discovery.due().is_none() {
+        let before = self.failures.len();
+        while self.discovery.due().is_none() && self.failures.len() == before {
             self.step();
         }
         self.now
@@ -126,14 +127,15 @@
     }
 
     /// A watch that has been answered once, and the next one after it under way.
-    fn watched(seed: u64, at: &TcpListener) -> (Self, Wire) {
-        let mut world = Self::new(seed, at);
-        let (mut wire, _) = world.arrives(at);
+    fn watched(seed: u64) -> (Self, Wire, TcpListener) {
+        let at = listener();
+        let mut world = Self::new(seed, &at);
+        let (mut wire, _) = world.arrives(&at);
         wire.list(2, true, &[]);
         world.socket();
         assert!(wire.head().starts_with("GET /v1/servers?index=2&wait="));
         assert_eq!(world.lists, 1);
-        (world, wire)
+        (world, wire, at)
     }
 }
 
@@ -157,7 +159,7 @@
     in_time(
         "a silent watch",
         worst(|seed| {
-            let (mut world, _wire) = World::watched(seed, &listener());
+            let (mut world, _wire, _at) = World::watched(seed);
             let from = world.now;
             world.fails();
             (world, from)
@@ -170,7 +172,7 @@
     in_time(
         "half an answer",
         worst(|seed| {
-            let (mut world, mut wire) = World::watched(seed, &listener());
+            let (mut world, mut wire, _at) = World::watched(seed);
             let from = world.now;
             wire.send("HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\n{\"generation\":3,");
             world.socket();
@@ -185,7 +187,7 @@
     in_time(
         "a silent fetch",
         worst(|seed| {
-            let (mut world, _wire) = World::watched(seed, &listener());
+            let (mut world, _wire, _at) = World::watched(seed);
             let other = listener();
             let news = world.discovery.relocate(world.now, &world.handle, addr(&other));
             world.take(news);
@@ -204,7 +206,7 @@
     in_time(
         "503",
         worst(|seed| {
-            let (mut world, mut wire) = World::watched(seed, &listener());
+            let (mut world, mut wire, _at) = World::watched(seed);
             // Discovery ends a call that has waited 2 s for its turn.
             let from = world.now;
             world.now += 2_000_000;
@@ -220,7 +222,7 @@
     in_time(
         "a reset",
         worst(|seed| {
-            let (mut world, wire) = World::watched(seed, &listener());
+            let (mut world, wire, _at) = World::watched(seed);
             let from = world.now;
             wire.reset();
             world.socket();
@@ -241,9 +243,7 @@
             let mut world = World::new(seed, &gone);
             drop(gone);
             for _ in 0..12 {
-                world.calls();
-                world.socket();
-                world.fails_so_far();
+                world.refused();
             }
             let from = world.now;
             (world, from)
@@ -279,8 +279,14 @@
 }
 
 impl World {
-    fn fails_so_far(&self) {
-        assert_eq!(self.discovery.due(), None, "a refused dial ends the call at once");
+    /// The next dial is refused, which ends the call at once.
+    fn refused(&mut self) {
+        let before = self.failures.len();
+        self.calls();
+        if self.failures.len() == before {
+            self.socket();
+        }
+        assert_eq!((self.failures.len(), self.discovery.due()), (before + 1, None));
     }
 }
 
@@ -288,7 +294,7 @@
 #[test]
 fn a_moved_discovery_that_is_silent_at_first_is_asked_again_within_4_s() {
     let gap = worst(|seed| {
-        let (mut world, _wire) = World::watched(seed, &listener());
+        let (mut world, _wire, _at) = World::watched(seed);
         let (silent, _held) = full_listener();
         let news = world.discovery.relocate(world.now, &world.handle, addr(&silent));
         world.take(news);
@@ -302,8 +308,7 @@
 // What all this costs, with nothing to tell and with discovery away: calls of one gatherer in a minute.
 #[test]
 fn calls_stay_few() {
-    let at = listener();
-    let (mut world, mut wire) = World::watched(7, &at);
+    let (mut world, mut wire, at) = World::watched(7);
     let (from, mut calls) = (world.now, 0);
     while world.now < from + 60_000_000 {
         world.now += 2_600_000;
@@ -317,8 +322,7 @@
     world.socket();
     let (from, before) = (world.now, world.failures.len());
     while world.now < from + 60_000_000 {
-        world.calls();
-        world.socket();
+        world.refused();
     }
     let refused = world.failures.len() - before;
     assert!((45..=75).contains(&refused), "{refused} dials to an address that refuses");
