Tell a host the time that is left when its frame is written, not when it was queued

Cause: Core::send computed Send.wait in the turn, and frames::call (for Flight: Call::begin, grpc-timeout) wrote that same number when the dial had come up or the socket had room, however much later. Out.until drifted by the same time, so that a part given up held its place on the connection for too long. Checked and ruled out: the attempt's time-out itself is absolute in the core (Out.until, timeouts), and the handover's held sends are sent unchanged.

Change: Send carries a deadline; what is told is what is left of it when the first byte is written, and a part whose time has passed by then is not written and reported as never sent.

The check of messages in promises.rs passes the time that is now an argument, and is as strict.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -130,12 +130,27 @@
     pub call: CallId,
     /// The shard.
     pub shard: ShardId,
-    /// How long its answer is waited for.
-    pub wait: Micros,
+    /// When its answer is no longer waited for. It may be written long after the turn that sent it: what the
+    /// host is told is what is left by then.
+    pub deadline: Micros,
     /// What the part carries.
     pub text: Rc<[u8]>,
 }
 
+impl Send {
+    /// How long its answer is waited for from now on.
+    #[must_use]
+    pub fn left(&self, now: Micros) -> Micros {
+        self.deadline.saturating_sub(now)
+    }
+
+    /// Whether it may still be begun.
+    #[must_use]
+    pub fn may_begin(&self, now: Micros) -> bool {
+        now < self.deadline
+    }
+}
+
 /// What the rest of the program is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -909,7 +924,7 @@
             query: Rc::clone(&open.ask.id),
             call: CallId(query.0),
             shard: open.ask.parts[at].shard,
-            wait: until.saturating_sub(now),
+            deadline: until,
             text: match &open.ask.plan {
                 Some(plan) if scout => Rc::clone(&plan.scout),
                 _ => Rc::clone(&open.ask.text),
--- a/crates/edge/src/upstream/flight.rs
+++ b/crates/edge/src/upstream/flight.rs
@@ -30,7 +30,7 @@
 use serde_json::json;
 
 use crate::tls::{Connector, Session};
-use crate::upstream::{Report, SLOWEST_FRAME};
+use crate::upstream::{drop_late, Report, SLOWEST_FRAME};
 use crate::wire::{Flag, Wire};
 
 /// The bounds of what hosts may send.
@@ -293,7 +293,8 @@
             }
         }
         let State::Up(connection, sender, pings) = &mut self.state else { return true };
-        while let Some(sends) = self.queue.pop_front() {
+        while let Some(mut sends) = self.queue.pop_front() {
+            drop_late(now, &mut sends, reports);
             self.next_call += 1;
             for send in &sends {
                 let place = (self.next_call, sends.len());
@@ -414,7 +415,7 @@
         let request = http::Request::post(format!("{scheme}://{addr}{}DoGet", grpc::SERVICE))
             .header("content-type", grpc::CONTENT_TYPE)
             .header("te", "trailers")
-            .header("grpc-timeout", grpc::write_timeout(send.wait))
+            .header("grpc-timeout", grpc::write_timeout(send.left(now)))
             .header("grpc-accept-encoding", grpc::ACCEPTED)
             .body(())
             .map_err(|_| Reason::INTERNAL_ERROR)?;
--- a/crates/edge/src/upstream/frames.rs
+++ b/crates/edge/src/upstream/frames.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use mallowgauge_core::Send;
-use mallowgauge_router::Outcome;
+use mallowgauge_router::{Micros, Outcome};
 
 /// Longest frame taken from a host: a value has to fit into a body of 64 KiB.
 pub const LONGEST: usize = 65 * 1024;
@@ -25,14 +25,15 @@
     format!("{}.{}", send.query, send.shard.0)
 }
 
-/// One call.
+/// One call, written now.
 #[must_use]
-pub fn call(sends: &[Send]) -> Vec<u8> {
+pub fn call(now: Micros, sends: &[Send]) -> Vec<u8> {
     let mut rest = Vec::new();
     for send in sends {
         let mut line = part_name(send);
         // The wait is rounded down: the host has to know that nobody listens any more.
-        let done = writeln!(line, " {} d={} {}", send.shard.0, (send.wait / 1000).max(1), send.text.len());
+        let left = (send.left(now) / 1000).max(1);
+        let done = writeln!(line, " {} d={left} {}", send.shard.0, send.text.len());
         debug_assert!(done.is_ok(), "writing to a string cannot fail");
         rest.extend_from_slice(line.as_bytes());
         rest.extend_from_slice(&send.text);
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -7,7 +7,7 @@
 pub use pool::{Link, Pool};
 
 use mallowgauge_core::budget::CallId;
-use mallowgauge_core::{AttemptId, Value};
+use mallowgauge_core::{AttemptId, Send, Value};
 use mallowgauge_router::{Micros, Outcome, ServerId};
 
 /// A frame or message that has begun to come has to be whole within this time.
@@ -23,3 +23,9 @@
     /// A probe came back.
     Probed(ServerId, bool),
 }
+
+/// Takes out of a call that waited what may not be begun any more: that has never run.
+fn drop_late(now: Micros, sends: &mut Vec<Send>, reports: &mut Vec<Report>) {
+    let late = sends.extract_if(.., |send| !send.may_begin(now));
+    reports.extend(late.map(|send| Report::Ended(send.attempt, Outcome::NeverSent, None)));
+}
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -6,7 +6,7 @@
 use crate::token;
 use crate::upstream::flight::{FlightLink, Terms};
 use crate::upstream::frames::{self, Said};
-use crate::upstream::{Report, SLOWEST_FRAME};
+use crate::upstream::{drop_late, Report, SLOWEST_FRAME};
 use mallowgauge_core::links::{choose, fullest, gives_way, Choice, Room, Shares, View};
 use mallowgauge_core::{AttemptId, Send};
 use mallowgauge_net::{Handle, ReadEnd, Stream, Token};
@@ -313,7 +313,7 @@
         let silent = self.links.silent;
         for id in self.held_by(server) {
             self.with(id, |c, reports| match &mut c.link {
-                Link::Frames(link) => link.abandon(now, silent, attempt),
+                Link::Frames(link) => link.abandon(now, silent, attempt, reports),
                 Link::Flight(link) => link.abandon(now, attempt, reports),
             });
         }
@@ -324,7 +324,7 @@
         let until = now + self.links.dial;
         match self.connection(now, handle, server, &[]) {
             Some(id) => self.with(id, |c, reports| match &mut c.link {
-                Link::Frames(link) => link.probe(now, until),
+                Link::Frames(link) => link.probe(now, until, reports),
                 Link::Flight(link) => link.probe(now, until, reports),
             }),
             None => self.reports.push(Report::Probed(server, false)),
@@ -494,7 +494,13 @@
 
     /// Nobody waits for an attempt any more. Where nothing else is out and nothing has been heard since,
     /// the connection may be dead, and goes with it; `false` then.
-    fn abandon(&mut self, now: Micros, silent: Micros, attempt: AttemptId) -> bool {
+    fn abandon(
+        &mut self,
+        now: Micros,
+        silent: Micros,
+        attempt: AttemptId,
+        reports: &mut Vec<Report>,
+    ) -> bool {
         for frame in &mut self.queue {
             if let Frame::Call(sends) = frame {
                 sends.retain(|send| send.attempt != attempt);
@@ -510,18 +516,18 @@
         }
         self.queue.push_back(Frame::GiveUp(name));
         self.used = now;
-        self.write(now)
+        self.write(now, reports)
     }
 
-    fn probe(&mut self, now: Micros, until: Micros) -> bool {
+    fn probe(&mut self, now: Micros, until: Micros, reports: &mut Vec<Report>) -> bool {
         self.used = now;
         self.queue.push_back(Frame::Probe);
         self.probes.push_back(until);
-        self.write(now)
+        self.write(now, reports)
     }
 
     /// Writes what the socket takes; `false` when the connection is over.
-    fn write(&mut self, now: Micros) -> bool {
+    fn write(&mut self, now: Micros, reports: &mut Vec<Report>) -> bool {
         if self.dialling.is_some() {
             match self.stream.connected() {
                 None => return true,
@@ -531,9 +537,15 @@
         }
         loop {
             if self.writing.is_none() {
-                let Some(frame) = self.queue.pop_front() else { return true };
-                let bytes = match &frame {
-                    Frame::Call(sends) => frames::call(sends),
+                let Some(mut frame) = self.queue.pop_front() else { return true };
+                let bytes = match &mut frame {
+                    Frame::Call(sends) => {
+                        drop_late(now, sends, reports);
+                        if sends.is_empty() {
+                            continue;
+                        }
+                        frames::call(now, sends)
+                    }
                     Frame::GiveUp(part) => frames::give_up(part),
                     Frame::Probe => frames::probe(),
                 };
@@ -547,7 +559,7 @@
             }
             if let Frame::Call(sends) = frame {
                 for send in sends.drain(..) {
-                    let (attempt, until) = (send.attempt, now + send.wait);
+                    let (attempt, until) = (send.attempt, send.deadline);
                     let out = Out { attempt, sent: now, until, given_up: false };
                     self.out.insert(frames::part_name(&send), out);
                 }
@@ -558,7 +570,7 @@
 
     /// Goes on as far as the socket lets it; `false` when the connection is over.
     fn ready(&mut self, now: Micros, reports: &mut Vec<Report>) -> bool {
-        if !self.write(now) {
+        if !self.write(now, reports) {
             // What came before the break still counts; a part written whole may have run.
             self.stream.read(&mut self.input, frames::LONGEST + 4);
             let taken = self.take(now, reports);
--- a/crates/mallowgauge/tests/promises.rs
+++ b/crates/mallowgauge/tests/promises.rs
@@ -109,11 +109,11 @@
         attempt: AttemptId { part: PartId(shard.into()), number: 0 },
         query: Rc::from("9b1f03aa5c7e2d41"),
         shard: ShardId(shard),
-        wait: 240_000,
+        deadline: 1_240_000,
         text: b"c41e77d0".as_slice().into(),
     };
-    fits("call", &frames::call(&[send(3)]));
-    fits("call", &frames::call(&[send(3), send(4)]));
+    fits("call", &frames::call(1_000_000, &[send(3)]));
+    fits("call", &frames::call(1_000_000, &[send(3), send(4)]));
     fits("giveUp", &frames::give_up(&frames::part_name(&send(3))));
     fits("probe", &frames::probe());
     let mut heard = Vec::new();
--- /dev/null
+++ b/crates/mallowgauge/tests/upstream_crossings.rs
@@ -0,0 +1,187 @@
+//! Events on connections to hosts that cross: what is told, withdrawn, answered or cut in the very moment in
+//! which something is on its way. Each order is forced by what hosts, discovery and clients send and wait for.
+
+use std::time::{Duration, Instant};
+
+use mallowgauge_testkit::hand::{accept, frame, query, Held, Part, Rig, Wire};
+use serde_json::{json, Value};
+
+/// Beyond a second, after which a SYN is sent again.
+const DIAL: u64 = 2_500_000;
+
+/// Dials may take long, and of the hosts in the saved list only the first is active.
+fn first_alone(file: &mut Value) {
+    file["settings"]["Limits"]["DialTimeoutUs"] = json!(DIAL);
+    let hosts = file["known"]["instances"].as_array_mut().expect("hosts");
+    hosts.iter_mut().skip(1).for_each(|host| host["lifecycle"] = json!("leaving"));
+}
+
+/// A client's question, on its way.
+fn ask(rig: &Rig, id: &str, kind: &str, ms: u64, shards: &[u32]) -> Wire {
+    let mut client = rig.client();
+    client.send(query(id, kind, ms, shards));
+    client
+}
+
+fn status(client: &mut Wire) -> u16 {
+    client.response().expect("an answer").0
+}
+
+/// The program has looked at its clients since this was called.
+fn turn(rig: &Rig) {
+    let mut client = rig.client();
+    client.send("GET /healthz HTTP/1.1\r\n\r\n");
+    assert_eq!(status(&mut client), 200);
+}
+
+fn only(mut parts: Vec<Part>) -> Part {
+    assert_eq!(parts.len(), 1, "{parts:?}");
+    parts.remove(0)
+}
+
+/// Serves a part that comes next on this connection.
+fn serve(host: &mut Wire) {
+    let part = only(host.call());
+    host.end(&part, "good", "x");
+}
+
+// ---- a dial that comes up late ----
+
+// Guards the time that a host is told: what is left when the frame is written, and not what was left in the
+// turn that queued it behind a dial.
+#[test]
+fn a_call_that_waited_for_its_dial_tells_what_is_left() {
+    let rig = Rig::start(1, first_alone);
+    let held = Held::dials(&rig.hosts[0]);
+    let _client = ask(&rig, "1", "search", 3_000, &[0]);
+    held.hang(1);
+    let since = Instant::now();
+    std::thread::sleep(Duration::from_millis(500));
+    let waited = since.elapsed().as_millis() as u64;
+    let part = only(held.let_through().call());
+    assert!(part.wait <= 3_000 - waited, "{part:?} after {waited} ms");
+}
+
+// The same for `grpc-timeout`.
+#[test]
+fn a_stream_that_waited_for_its_dial_tells_what_is_left() {
+    let rig = Rig::flight(1, first_alone);
+    let held = Held::dials(&rig.hosts[0]);
+    let _client = ask(&rig, "1", "search", 3_000, &[0]);
+    held.hang(1);
+    let since = Instant::now();
+    std::thread::sleep(Duration::from_millis(500));
+    let waited = since.elapsed().as_micros() as u64;
+    let lines = held.let_through().stream();
+    let told = lines.iter().find(|(name, _)| name == "grpc-timeout").expect("a time").1.clone();
+    let told: u64 = told.strip_suffix('u').and_then(|us| us.parse().ok()).expect("microseconds");
+    assert!(told <= 3_000_000 - waited, "{told} us after {waited} us");
+}
+
+/// A client asks and leaves while the dial hangs; nothing may be written once that comes up.
+fn a_client_leaves_a_dial(cancel: bool) {
+    let rig = Rig::start(1, |file| {
+        first_alone(file);
+        file["settings"]["Limits"]["Cancel"] = json!(cancel);
+    });
+    let held = Held::dials(&rig.hosts[0]);
+    let client = ask(&rig, "1", "place-hold", 3_500, &[0, 1]);
+    held.hang(1);
+    drop(client);
+    turn(&rig);
+    assert!(held.let_through().closes(), "nobody waits for anything here");
+}
+
+// Guards hosts against work that nobody waits for, and holds against an effect that nobody hears of.
+#[test]
+fn nothing_is_written_for_a_client_that_left_while_its_dial_hung() {
+    a_client_leaves_a_dial(true);
+}
+
+// ---- a connection that ends ----
+
+// Guards a hold against a kept connection that was reset before it: nothing was written there.
+#[test]
+fn a_reset_before_the_frame_costs_nothing() {
+    let rig = Rig::start(1, first_alone);
+    let mut client = ask(&rig, "1", "place-hold", 3_000, &[0]);
+    let mut host = accept(&rig.hosts[0]);
+    serve(&mut host);
+    assert_eq!(status(&mut client), 200);
+    host.reset();
+    client.send(query("2", "place-hold", 3_000, &[0]));
+    serve(&mut accept(&rig.hosts[0]));
+    assert_eq!(status(&mut client), 200);
+}
+
+/// A hold and a search are on their way when this happens to their connection: the hold fails and is not sent
+/// again, the search is.
+fn after_the_frame(happens: fn(Wire, &Part)) {
+    let rig = Rig::start(1, first_alone);
+    let mut client = ask(&rig, "1", "place-hold", 3_000, &[0]);
+    let mut host = accept(&rig.hosts[0]);
+    let part = only(host.call());
+    happens(host, &part);
+    assert!(![200, 429, 503].contains(&status(&mut client)), "it may have run");
+    client.send(query("2", "search", 3_000, &[0]));
+    let mut host = accept(&rig.hosts[0]);
+    // The hold would have come first.
+    let part = only(host.call());
+    assert_eq!(part.id, "2.0");
+    happens(host, &part);
+    let mut host = accept(&rig.hosts[0]);
+    assert_eq!(only(host.call()).id, "2.0");
+    host.end(&part, "good", "x");
+    assert_eq!(status(&mut client), 200);
+}
+
+#[test]
+fn a_reset_after_the_frame_leaves_it_open_whether_it_ran() {
+    after_the_frame(|host, _| host.reset());
+}
+
+// Half an answer is none, however good it looks, and whether the end behind it is clean or a reset.
+#[test]
+fn half_a_line_at_the_close_is_no_answer() {
+    after_the_frame(|mut host, part| {
+        let answer = frame(b'q', &format!("{} good 0 -\nx", part.id));
+        host.send(&answer[..answer.len() - 4]);
+    });
+}
+
+#[test]
+fn an_answer_short_of_its_last_byte_is_no_answer() {
+    after_the_frame(|mut host, part| {
+        let answer = frame(b'q', &format!("{} good 0 -\nxy", part.id));
+        host.send(&answer[..answer.len() - 1]);
+    });
+}
+
+// Guards what has come in whole against the end behind it.
+#[test]
+fn a_whole_answer_counts_though_the_connection_ends_behind_it() {
+    let rig = Rig::start(1, first_alone);
+    let mut client = ask(&rig, "1", "place-hold", 3_000, &[0]);
+    let mut host = accept(&rig.hosts[0]);
+    serve(&mut host);
+    drop(host);
+    assert_eq!(status(&mut client), 200);
+}
+
+// Guards what is out on a connection against an answer for what was given up there.
+#[test]
+fn an_answer_for_a_part_given_up_takes_nothing_from_the_next() {
+    let rig = Rig::start(1, first_alone);
+    let client = ask(&rig, "1", "search", 3_000, &[0]);
+    let mut host = accept(&rig.hosts[0]);
+    let late = only(host.call());
+    drop(client);
+    assert_eq!(host.frame(), Some((b'n', late.id.clone())));
+    let mut client = ask(&rig, "2", "place-hold", 3_000, &[0]);
+    // While the place of the first may still be taken, the next gets a connection of its own.
+    let mut other = accept(&rig.hosts[0]);
+    host.end(&late, "good", "late");
+    serve(&mut other);
+    assert_eq!(client.response().expect("an answer").1.matches("late").count(), 0);
+    assert!(host.closes(), "by its rest, and not before");
+}
--- a/crates/testkit/src/hand.rs
+++ b/crates/testkit/src/hand.rs
@@ -190,12 +190,21 @@
 
     /// The same with so many descriptors.
     pub fn within(hosts: usize, descriptors: u32, change: impl FnOnce(&mut Value)) -> Self {
+        Self::wired(hosts, descriptors, &json!([]), change)
+    }
+
+    /// The same with hosts that are spoken to by Flight.
+    pub fn flight(hosts: usize, change: impl FnOnce(&mut Value)) -> Self {
+        Self::wired(hosts, 1024, &json!("all"), change)
+    }
+
+    fn wired(hosts: usize, descriptors: u32, flight: &Value, change: impl FnOnce(&mut Value)) -> Self {
         let hosts: Vec<TcpListener> = (0..hosts).map(|_| listener()).collect();
         let discovery = listener();
         let addrs: Vec<SocketAddr> = hosts.iter().map(addr).collect();
         let mut file = config(&addrs, addr(&discovery));
         change(&mut file);
-        let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": []}});
+        let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": flight}});
         Self { program: Program::start(&file, &operator, descriptors), hosts, discovery }
     }
 
@@ -237,3 +246,72 @@
 pub fn addr(listener: &TcpListener) -> SocketAddr {
     listener.local_addr().expect("an address")
 }
+
+/// Dials to a listener that go unanswered until the test lets them come up.
+pub struct Held<'a> {
+    listener: &'a TcpListener,
+    /// Takes the only place in the backlog.
+    _filler: TcpStream,
+}
+
+impl<'a> Held<'a> {
+    /// From now on nobody gets through to this listener.
+    pub fn dials(listener: &'a TcpListener) -> Self {
+        socket2::SockRef::from(listener).listen(0).expect("a listener");
+        let filler = TcpStream::connect(addr(listener)).expect("the only place");
+        Self { listener, _filler: filler }
+    }
+
+    /// Waits until so many dials hang.
+    pub fn hang(&self, dials: usize) {
+        let port = format!(":{:04X}", addr(self.listener).port());
+        // Of each socket: a number, its own address, the other's, and its state; 02 is a SYN that was sent.
+        let hangs = |line: &&str| {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            words[2].ends_with(&port) && words[3] == "02"
+        };
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the system's sockets");
+            if sockets.lines().filter(hangs).count() == dials {
+                return;
+            }
+            assert!(Instant::now() < until, "{dials} dials should hang: {sockets}");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Lets dials come up, and gives the first; a SYN is sent again a second after the last one.
+    pub fn let_through(self) -> Wire {
+        drop(accept(self.listener));
+        socket2::SockRef::from(self.listener).listen(128).expect("a listener");
+        accept(self.listener)
+    }
+}
+
+impl Wire {
+    /// Reads a Flight connection up to its first stream: the header lines of that.
+    pub fn stream(&mut self) -> Vec<(String, String)> {
+        let mut read = |length: usize| {
+            let mut bytes = vec![0; length];
+            self.0.read_exact(&mut bytes).expect("the program writes HTTP/2");
+            bytes
+        };
+        assert!(read(24).starts_with(b"PRI * HTTP/2.0"));
+        loop {
+            let head = read(9);
+            let mut payload = read(u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize);
+            if head[3] == crate::raw::HEADERS {
+                let mut lines = Vec::new();
+                httlib_hpack::Decoder::default().decode(&mut payload, &mut lines).expect("header lines");
+                let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+                return lines.into_iter().map(|(name, value, _)| (text(name), text(value))).collect();
+            }
+        }
+    }
+}
+
+/// Connections to this listener take few bytes that nobody reads.
+pub fn takes_little(listener: &TcpListener) {
+    socket2::SockRef::from(listener).set_recv_buffer_size(4096).expect("a listener");
+}
