Begin no attempt after its window, its client's leave or its copy, however late a dial comes

Read line by line: Router::may_repeat looks at the window (WindowUs) of a guarded class in the turn that sends, but the repeat is written when its connection comes up, up to DialTimeoutUs later, when the window in which hosts drop it can be over: two effects. The same holds for a first attempt that still waits for a dial when its second copy goes out. And where attempts may not be called off (Limits.Cancel false) the router sends no Cancel, so that what waited unwritten for a client that had left, or for a part that was served, was written when the dial came up: beyond 0.1 s after the leave.

Ruled out: a retry timer for a query that ended (Router::send_all passes over parts that are over), an attempt of the next turn for a client that left (Router::admit and Core::send find no query), a result that crosses its time-out or cancel (Core::outcome takes each attempt once), single_shot on any of these paths (repeat_by is 0 once one may have run).

Change: the module says with each send until when it may begin (Action::Send.begin_within, from Router::repeat_by); Send carries it as begin_by and what is late is reported as never sent; Effect::Withdraw takes back an attempt that has not begun, without a word to its host: for an earlier attempt of a part with an effect when a further one is sent, and where nothing may be called off for parts of queries that are over and for copies of parts that are in. An attempt that waits for leave from the fleet is withdrawn with it (not shown by a test).

Tests, red before: a_repeat_that_waited_beyond_its_window_is_not_written and nothing_is_written_for_a_client_that_left_where_attempts_are_not_called_off (a call came on the late connection), an_attempt_that_waits_for_its_dial_is_taken_back_for_its_copy (the same, with the withdrawal alone taken out). The random drives of the module (router/tests/drive.rs) now also hold begin_within to the window and the time-out.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -217,7 +217,7 @@
 pub fn write(out: &mut String, router: u64, action: &Action, names: &Names) {
     let node = |id: &ServerId| Value::from(names.servers[id.0 as usize].as_str());
     let done = match action {
-        Action::Send { part, server, timeout } => {
+        Action::Send { part, server, timeout, .. } => {
             writeln!(out, "[\"SubmitTo\",{router},\"{}\",{timeout},{}]", id_text(part.0), node(server))
         }
         Action::Cancel { part, attempt } => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -133,6 +133,8 @@
     /// When its answer is no longer waited for. It may be written long after the turn that sent it: what the
     /// host is told is what is left by then.
     pub deadline: Micros,
+    /// From when on it may not begin any more, though its answer might still come in time.
+    pub begin_by: Micros,
     /// What the part carries.
     pub text: Rc<[u8]>,
 }
@@ -147,7 +149,7 @@
     /// Whether it may still be begun.
     #[must_use]
     pub fn may_begin(&self, now: Micros) -> bool {
-        now < self.deadline
+        now < self.begin_by
     }
 }
 
@@ -158,6 +160,8 @@
     Call(ServerId, Vec<Send>),
     /// Nobody waits for this attempt any more.
     Abandon(ServerId, AttemptId),
+    /// If this attempt has not begun, it is not to; its host is told nothing.
+    Withdraw(ServerId, AttemptId),
     /// Give this final answer.
     Reply(Asker, Answer),
     /// An attempt with an effect: it may be sent once leave is given, and not before.
@@ -259,6 +263,8 @@
     deadlines: Vec<Micros>,
     /// Whether a class's parts may be repeated freely.
     harmless: Vec<bool>,
+    /// Hosts may be told that an attempt is given up.
+    cancels: bool,
     /// Attempts with an effect wait for leave, and their queries' answers for their record.
     guarded: bool,
     /// Final answers that came about between turns.
@@ -306,11 +312,13 @@
         let harmless = settings.classes.iter().map(free).collect();
         let figures = settings.classes.iter().map(|class| (class.aim, class.floor)).collect();
         let layout = settings.layout.clone();
+        let cancels = settings.limits.cancel;
         Ok(Self {
             router: Router::new(seed, settings)?,
             classes,
             deadlines,
             harmless,
+            cancels,
             guarded: false,
             ready: Vec::new(),
             layout,
@@ -644,6 +652,7 @@
     /// Nobody waits for these parts of a plan any more.
     fn drop_slots(&mut self, query: QueryId, blocks: &[usize], scout: bool) {
         let Some(open) = self.queries.get_mut(&query) else { return };
+        let mut dropped = Vec::new();
         let these = |slot: &&mut Slot| slot.scout == scout && !slot.over && blocks.contains(&slot.at);
         for slot in open.slots.iter_mut().filter(these) {
             slot.over = true;
@@ -651,6 +660,10 @@
             self.parts.remove(&slot.part);
             self.counts.remove(&slot.part);
             self.events.push(Event::Drop(slot.part));
+            dropped.push(slot.part);
+        }
+        if !self.cancels {
+            dropped.into_iter().for_each(|part| self.withdraw_waiting(part));
         }
     }
 
@@ -733,6 +746,9 @@
                 outcome = Outcome::Fault;
             }
         }
+        if !self.cancels && outcome == Outcome::Served {
+            self.withdraw_waiting(id.part);
+        }
         let took = now.saturating_sub(out.sent);
         self.events.push(Event::Outcome { part: id.part, attempt: id.number, outcome, took });
     }
@@ -838,9 +854,14 @@
         let mut others = Vec::new();
         for action in actions {
             match action {
-                Action::Send { part, server, timeout } => {
-                    let guarded = self.guarded && self.has_effect(part);
-                    match self.send(now, part, server, timeout) {
+                Action::Send { part, server, timeout, begin_within } => {
+                    let effect = self.has_effect(part);
+                    if effect {
+                        // Of two attempts none may begin long after the other: one that waits still is not to.
+                        self.withdraw_waiting(part);
+                    }
+                    let guarded = self.guarded && effect;
+                    match self.send(now, part, server, (timeout, begin_within)) {
                         Some(send) if guarded => others.push(Effect::Leave(server, send)),
                         Some(send) => calls.entry(server).or_default().push(send),
                         None => {}
@@ -897,7 +918,20 @@
         open.is_some_and(|(open, at)| !self.harmless[open.ask.class.0] && !open.slots[at].scout)
     }
 
-    fn send(&mut self, now: Micros, part: PartId, server: ServerId, timeout: Micros) -> Option<Send> {
+    /// Attempts of a part that wait for a connection or for room on one are not to begin any more.
+    fn withdraw_waiting(&mut self, part: PartId) {
+        let (first, last) = (AttemptId { part, number: 0 }, AttemptId { part, number: u32::MAX });
+        let out = self.attempts.range(first..=last);
+        self.ready.extend(out.map(|(id, out)| Effect::Withdraw(out.server, *id)));
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        part: PartId,
+        server: ServerId,
+        (timeout, begin_within): (Micros, Micros),
+    ) -> Option<Send> {
         let count = self.counts.entry(part).or_insert(0);
         let id = AttemptId { part, number: *count };
         *count += 1;
@@ -925,6 +959,7 @@
             call: CallId(query.0),
             shard: open.ask.parts[at].shard,
             deadline: until,
+            begin_by: until.min(now.saturating_add(begin_within)),
             text: match &open.ask.plan {
                 Some(plan) if scout => Rc::clone(&plan.scout),
                 _ => Rc::clone(&open.ask.text),
@@ -964,6 +999,10 @@
             self.parts.remove(&slot.part);
             self.counts.remove(&slot.part);
         }
+        if !self.cancels {
+            // The router calls nothing off then, but what has not begun needs no word to its host.
+            open.slots.iter().for_each(|slot| self.withdraw_waiting(slot.part));
+        }
         Some(open)
     }
 }
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -313,6 +313,14 @@
                     self.pool.abandon(now, server, attempt);
                 }
             }
+            Effect::Withdraw(server, attempt) => {
+                let peers = self.peers.as_mut();
+                if peers.is_some_and(|peers| self.handover.abandon(now, attempt, peers)) {
+                    self.core.outcome(now, attempt, Outcome::NeverSent, None);
+                } else {
+                    self.pool.withdraw(server, attempt);
+                }
+            }
             Effect::Leave(server, send) => {
                 let Some(peers) = &mut self.peers else { return };
                 let tasks = self.handover.leave(now, server, send, &mut self.core, peers);
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -381,6 +381,16 @@
         }
     }
 
+    /// An attempt is not to begin any more, if it has not.
+    pub fn withdraw(&mut self, server: ServerId, attempt: AttemptId) {
+        for id in self.held_by(server) {
+            self.with(id, |c, reports| {
+                c.link.take_back(|send| send.attempt == attempt, reports);
+                true
+            });
+        }
+    }
+
     /// Probes a host.
     pub fn probe(&mut self, now: Micros, handle: &Handle, server: ServerId) {
         let until = now + self.links.dial;
--- a/crates/mallowgauge/tests/promises.rs
+++ b/crates/mallowgauge/tests/promises.rs
@@ -110,6 +110,7 @@
         query: Rc::from("9b1f03aa5c7e2d41"),
         shard: ShardId(shard),
         deadline: 1_240_000,
+        begin_by: 1_240_000,
         text: b"c41e77d0".as_slice().into(),
     };
     fits("call", &frames::call(1_000_000, &[send(3)]));
--- a/crates/mallowgauge/tests/upstream_crossings.rs
+++ b/crates/mallowgauge/tests/upstream_crossings.rs
@@ -16,6 +16,11 @@
     hosts.iter_mut().skip(1).for_each(|host| host["lifecycle"] = json!("leaving"));
 }
 
+fn class(file: &mut Value, name: &str) -> usize {
+    let classes = file["settings"]["Classes"].as_array().expect("classes");
+    classes.iter().position(|class| class["Name"] == name).expect("a class")
+}
+
 /// Discovery's first call, which waits for news.
 fn watch(rig: &Rig) -> Wire {
     let mut watch = accept(&rig.discovery);
@@ -161,6 +166,66 @@
     a_client_leaves_a_dial(true);
 }
 
+// Where hosts are not told what is given up, a part that was not written is withdrawn all the same.
+#[test]
+fn nothing_is_written_for_a_client_that_left_where_attempts_are_not_called_off() {
+    a_client_leaves_a_dial(false);
+}
+
+// Guards the window in which a repeat is dropped: one that waited for its dial beyond it is not written.
+#[test]
+fn a_repeat_that_waited_beyond_its_window_is_not_written() {
+    let rig = Rig::start(2, |file| {
+        first_alone(file);
+        let hold = class(file, "place-hold");
+        file["settings"]["Classes"][hold]["Semantics"] = json!("guarded");
+        file["settings"]["Classes"][hold]["WindowUs"] = json!(600_000);
+    });
+    let held = Held::dials(&rig.hosts[1]);
+    let mut discovery = watch(&rig);
+    let mut client = ask(&rig, "1", "place-hold", 3_500, &[0]);
+    let mut first = accept(&rig.hosts[0]);
+    only(first.call());
+    discovery.list(2, false, &[started(rig.instance(1, "active"), 1)]);
+    rig.expect_log("host s-1 is Ready");
+    first.reset();
+    held.hang(1);
+    std::thread::sleep(Duration::from_millis(600));
+    assert!(held.let_through().closes(), "the window is over");
+    assert!([429, 503].contains(&status(&mut client)), "it may be tried again");
+}
+
+// Guards the window against an attempt that is written after its copy: both could have an effect.
+#[test]
+fn an_attempt_that_waits_for_its_dial_is_taken_back_for_its_copy() {
+    let rig = Rig::start(2, |file| {
+        first_alone(file);
+        let hold = class(file, "place-hold");
+        file["settings"]["Classes"][hold]["Semantics"] = json!("guarded");
+        file["settings"]["Limits"]["Probing"] = json!(false);
+        // Longer than what makes the hold overdue.
+        file["settings"]["Limits"]["ConnIdleUs"] = json!(2_000_000);
+    });
+    let held = Held::dials(&rig.hosts[0]);
+    let mut discovery = watch(&rig);
+    let _client = ask(&rig, "1", "place-hold", 3_500, &[0]);
+    held.hang(1);
+    discovery.list(2, false, &[started(rig.instance(1, "active"), 1)]);
+    rig.expect_log("host s-1 is Ready");
+    // Beside answers that came since it was sent, it is overdue.
+    let mut other = ask(&rig, "2", "search", 3_000, &[0]);
+    let mut second = accept(&rig.hosts[1]);
+    serve(&mut second);
+    assert_eq!(status(&mut other), 200);
+    for id in ["3", "4"] {
+        other.send(query(id, "search", 3_000, &[0]));
+        serve(&mut second);
+        assert_eq!(status(&mut other), 200);
+    }
+    assert_eq!(only(second.call()).id, "1.0");
+    assert!(held.let_through().closes(), "its copy runs in its place");
+}
+
 // ---- a connection that ends ----
 
 // Guards a hold against a kept connection that was reset before it: nothing was written there.
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -368,6 +368,9 @@
         server: ServerId,
         /// Its time-out.
         timeout: Micros,
+        /// It must not begin later than this from now, however long it waits for a connection; at most the
+        /// time-out.
+        begin_within: Micros,
     },
     /// Call an attempt off.
     Cancel {
--- a/crates/router/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -546,6 +546,7 @@
         *in_call += 1;
         let call = *call;
         let extra = self.parts.get(&id).is_some_and(|part| self.is_extra(part));
+        let begin_by = self.parts.get(&id).map_or(0, |part| self.repeat_by(part));
         let (Some(part), Some(server)) = (self.parts.get_mut(&id), self.servers.get_mut(&to)) else {
             return;
         };
@@ -563,7 +564,8 @@
         // Work that can no longer earn anything should not be begun.
         let useful_end = if class.late_worth > 0.0 { query.end } else { query.aim.min(query.end) };
         let timeout = useful_end.saturating_sub(self.now).max(1);
-        self.out.push(Action::Send { part: id, server: to, timeout });
+        let begin_within = timeout.min(begin_by.saturating_sub(self.now));
+        self.out.push(Action::Send { part: id, server: to, timeout, begin_within });
         self.agenda.insert((overdue, Task::Overdue(id, number)));
         if trial {
             self.next_trial(to);
@@ -911,12 +913,17 @@
         if one_out || part.attempts.len() >= limits.max_attempts as usize {
             return false;
         }
+        self.now < self.repeat_by(part)
+    }
+
+    /// Until when one more attempt may begin without a second effect.
+    fn repeat_by(&self, part: &Part) -> Micros {
         let first_risk = part.attempts.iter().filter(|a| !a.never_ran()).map(|a| a.sent).min();
         match (self.class(part.class).effect, first_risk) {
-            (Effect::Safe, _) | (_, None) => true,
-            _ if part.harmless => true,
-            (Effect::Keyed(window), Some(first)) => self.now < first + window,
-            (Effect::Unsafe, Some(_)) => false,
+            (Effect::Safe, _) | (_, None) => Micros::MAX,
+            _ if part.harmless => Micros::MAX,
+            (Effect::Keyed(window), Some(first)) => first + window,
+            (Effect::Unsafe, Some(_)) => 0,
         }
     }
 
--- a/crates/router/tests/drive.rs
+++ b/crates/router/tests/drive.rs
@@ -139,7 +139,7 @@
     more: &mut Vec<Event>,
 ) {
     match action {
-        Action::Send { part, server, timeout } => {
+        Action::Send { part, server, timeout, begin_within } => {
             let seen = w.parts.get_mut(part).expect("a known part");
             let query = w.queries.get(&seen.query).expect("rule 1: no send after the end of its query");
             let class = &s.classes[query.class];
@@ -152,9 +152,13 @@
             let risk = seen.attempts.iter().filter(|a| !a.3).map(|a| a.0).min();
             match (class.effect, risk) {
                 (Effect::Unsafe, Some(_)) => panic!("rule 2: an unsafe part again"),
-                (Effect::Keyed(window), Some(first)) => assert!(now <= first + window, "rule 2: keyed"),
+                (Effect::Keyed(window), Some(first)) => {
+                    assert!(now <= first + window, "rule 2: keyed");
+                    assert!(now + begin_within <= first + window, "rule 2: keyed, however late it begins");
+                }
                 _ => {}
             }
+            assert!(begin_within <= timeout, "what nobody waits for does not begin");
             if !seen.attempts.is_empty() {
                 w.extra.push(now);
                 let budget = s.rules.budget.as_ref().expect("a budget");
