Cut frames that nobody waits for, endless answers and dials with nothing to carry

Read line by line, FrameLink in pool.rs:

- abandon looked at queued and at whole frames, not at the one of which some bytes were written.
That one was completed whenever the host read on, long after its client had left, and then stood among the parts that somebody waits for, with no time-out of its own: the connection was silent and never idle, and held its place until the host closed it.
Now its parts count as given up once it is whole; where nobody waits for anything else on the connection, that is reset, with what the system still holds for the host.
- take passed over copies of the last 64 answers without end: a host that repeats one as fast as it is read kept the event loop in FrameLink::ready.
Now as many copies as names are remembered may come between two answers that are due.
- With all places for connections taken by dials whose parts had ended, a call to a sound host found no place, three times within three turns, and its query was refused.
Such a dial now gives way as a resting connection does (rests).

Tests, red before: a_frame_half_written_for_clients_that_left_is_not_completed (frames went on and the connection stayed), answers_without_end_end_their_connection (it stayed until the time-out of what was out there), a_dial_that_nobody_waits_for_gives_its_place_to_a_call (no connection came).

--- a/crates/edge/src/upstream/flight.rs
+++ b/crates/edge/src/upstream/flight.rs
@@ -154,10 +154,10 @@
         self.queue.iter().map(Vec::len).sum::<usize>() + self.calls.len()
     }
 
-    /// Nothing is out, on its way or being opened.
+    /// Nothing is out or on its way.
     #[must_use]
     pub fn rests(&self) -> bool {
-        self.load() == 0 && self.probe.is_none() && matches!(self.state, State::Up(..))
+        self.load() == 0 && self.probe.is_none()
     }
 
     /// It is not up yet, and would have nothing to carry.
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -118,7 +118,7 @@
         }
     }
 
-    /// Nothing is out, on its way or being opened.
+    /// Nothing is out or on its way.
     fn rests(&self) -> bool {
         match self {
             Link::Frames(link) => link.rests(),
@@ -495,6 +495,8 @@
     late_probes: u32,
     /// The parts whose answers came last: a second copy of one is passed over.
     done: VecDeque<String>,
+    /// How many copies were passed over since the last answer that was due.
+    copies: usize,
     input: Vec<u8>,
     /// Since when a frame has come in part.
     partial: Option<Micros>,
@@ -515,6 +517,7 @@
             probes: VecDeque::new(),
             late_probes: 0,
             done: VecDeque::new(),
+            copies: 0,
             input: Vec::new(),
             partial: None,
             heard: now,
@@ -535,7 +538,7 @@
     fn rests(&self) -> bool {
         let waiting = self.out.values().any(|out| !out.given_up);
         let writes = self.writing.is_some() || !self.queue.is_empty();
-        !waiting && !writes && self.dialling.is_none() && self.probes.is_empty() && self.input.is_empty()
+        !waiting && !writes && self.probes.is_empty() && self.input.is_empty()
     }
 
     fn dials_in_vain(&self) -> bool {
@@ -588,6 +591,18 @@
     ) -> bool {
         self.take_back(|send| send.attempt == attempt, reports);
         let was_silent = self.silent_since().is_some_and(|at| at + silent <= now);
+        if let Some(name) = self.half_written(attempt) {
+            // Unless somebody waits for something else here, the frame never becomes whole, and what the
+            // system holds of others before it is not worth sending either.
+            self.queue.push_back(Frame::GiveUp(name));
+            let nobody = self.writing.iter().all(|(frame, _)| self.is_given_up(frame))
+                && self.queue.iter().all(|frame| !matches!(frame, Frame::Call(_)))
+                && self.out.values().all(|out| out.given_up);
+            if nobody {
+                self.stream.abort();
+            }
+            return !nobody;
+        }
         let Some((name, out)) = self.out.iter_mut().find(|(_, o)| o.attempt == attempt) else { return true };
         out.given_up = true;
         let name = name.clone();
@@ -599,6 +614,22 @@
         self.write(now, reports)
     }
 
+    /// The name of a part whose frame is written in part.
+    fn half_written(&self, attempt: AttemptId) -> Option<String> {
+        let (Frame::Call(sends), _) = self.writing.as_ref()? else { return None };
+        sends.iter().find(|send| send.attempt == attempt).map(frames::part_name)
+    }
+
+    /// Nobody waits for any part of this frame any more; the word to the host waits behind it.
+    fn is_given_up(&self, frame: &Frame) -> bool {
+        let Frame::Call(sends) = frame else { return false };
+        let given_up = |send: &Send| {
+            let name = frames::part_name(send);
+            self.queue.iter().any(|frame| matches!(frame, Frame::GiveUp(other) if *other == name))
+        };
+        sends.iter().all(given_up)
+    }
+
     fn probe(&mut self, now: Micros, until: Micros, reports: &mut Vec<Report>) -> bool {
         self.used = now;
         self.queue.push_back(Frame::Probe);
@@ -646,9 +677,10 @@
             }
             if let Frame::Call(sends) = frame {
                 for send in sends.drain(..) {
-                    let (attempt, until) = (send.attempt, send.deadline);
-                    let out = Out { attempt, sent: now, until, given_up: false };
-                    self.out.insert(frames::part_name(&send), out);
+                    let (attempt, until, name) = (send.attempt, send.deadline, frames::part_name(&send));
+                    let gives_up = |frame: &Frame| matches!(frame, Frame::GiveUp(other) if *other == name);
+                    let given_up = self.queue.iter().any(gives_up);
+                    self.out.insert(name, Out { attempt, sent: now, until, given_up });
                 }
             }
             self.writing = None;
@@ -706,11 +738,14 @@
                 Said::End(name, outcome, value) => {
                     let Some(out) = self.out.remove(&name) else {
                         // A second copy, or the answer of a part given up long ago.
-                        if self.done.contains(&name) {
+                        // One that goes on and on would keep the loop from everything else.
+                        self.copies += 1;
+                        if self.copies <= DONE && self.done.contains(&name) {
                             continue;
                         }
                         return Err("an answer to no part that was sent here");
                     };
+                    self.copies = 0;
                     self.is_done(name);
                     if !out.given_up {
                         let value = (outcome == Outcome::Served).then(|| value.into());
--- a/crates/mallowgauge/tests/upstream_crossings.rs
+++ b/crates/mallowgauge/tests/upstream_crossings.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use mallowgauge_testkit::hand::{accept, addr, frame, query, Held, Part, Rig, Wire};
+use mallowgauge_testkit::hand::{accept, addr, frame, query, takes_little, Held, Part, Rig, Wire};
 use serde_json::{json, Value};
 
 /// Beyond a second, after which a SYN is sent again.
@@ -226,6 +226,29 @@
     assert!(held.let_through().closes(), "its copy runs in its place");
 }
 
+// A dial that has nothing to carry any more gives way where no other place is left.
+#[test]
+fn a_dial_that_nobody_waits_for_gives_its_place_to_a_call() {
+    // Ten places for connections to hosts, at which all dials but those to the last hang.
+    let rig = Rig::start(12, |file| {
+        file["settings"]["Limits"]["DialTimeoutUs"] = json!(DIAL);
+        file["limits"]["sockets"] = json!(32);
+        file["settings"]["FamilyInfo"]["Places"] = json!(12);
+        file["settings"]["FamilyInfo"]["Shards"] = json!(12);
+        file["settings"]["FamilyInfo"]["Width"] = json!(1);
+    });
+    let held: Vec<Held<'_>> = rig.hosts[..10].iter().map(Held::dials).collect();
+    for (shard, host) in held.iter().enumerate() {
+        let client = ask(&rig, &format!("{shard}"), "search", 3_500, &[shard as u32]);
+        host.hang(1);
+        drop(client);
+    }
+    turn(&rig);
+    let mut client = ask(&rig, "11", "search", 3_500, &[11]);
+    serve(&mut accept(&rig.hosts[11]));
+    assert_eq!(status(&mut client), 200);
+}
+
 // ---- a connection that ends ----
 
 // Guards a hold against a kept connection that was reset before it: nothing was written there.
@@ -314,6 +337,27 @@
     assert!(host.closes(), "by its rest, and not before");
 }
 
+// Guards the loop against a host that never ends its answers: a second copy is passed over, but not for ever.
+#[test]
+fn answers_without_end_end_their_connection() {
+    let rig = Rig::start(1, |file| {
+        first_alone(file);
+        file["settings"]["Limits"]["ConnIdleUs"] = json!(60_000_000);
+    });
+    let mut client = ask(&rig, "1", "search", 3_000, &[0]);
+    let mut host = accept(&rig.hosts[0]);
+    let part = only(host.call());
+    host.end(&part, "good", "x");
+    assert_eq!(status(&mut client), 200);
+    client.send(query("2", "search", 3_000, &[0]));
+    assert_eq!(only(host.call()).id, "2.0");
+    let copy = frame(b'q', &format!("{} good 0 util=0.5\nx", part.id));
+    host.send(copy.repeat(1_000));
+    assert!(host.closes(), "more answers than were asked for");
+    serve(&mut accept(&rig.hosts[0]));
+    assert_eq!(status(&mut client), 200);
+}
+
 // ---- a host that comes back ----
 
 // Guards a hold against a connection to a process that is no more: nobody has closed it where the machine
@@ -340,3 +384,45 @@
     assert_eq!(status(&mut client), 200);
     assert!(host.closes(), "nothing more is due to the process before");
 }
+
+// ---- room on a connection ----
+
+// Guards against a frame that comes whole after all who waited for it have left: it is cut, and nothing
+// behind it is written.
+#[test]
+fn a_frame_half_written_for_clients_that_left_is_not_completed() {
+    // Twelve places for connections to twelve hosts, of which one is active: there is one connection to it.
+    let rig = Rig::start(12, |file| {
+        first_alone(file);
+        file["settings"]["Limits"]["MaxOpen"] = json!(1000);
+        file["settings"]["Limits"]["MaxStreams"] = json!(1000);
+        file["limits"]["sockets"] = json!(64);
+    });
+    takes_little(&rig.hosts[0]);
+    // Ten parts of 60,000 bytes each: more than a socket holds for a host that does not read.
+    let large = |id: usize| {
+        let text = "x".repeat(60_000);
+        let ranges: Vec<Value> = (0..10).map(|s| json!({"range": s, "portion": 0.1})).collect();
+        let body = json!({"ranges": ranges, "predicate": text}).to_string();
+        format!(
+            "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id}\r\nReq-Kind: search\r\n\
+             Req-Deadline-Ms: 3500\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    let mut clients: Vec<Wire> = Vec::new();
+    for id in 0..8 {
+        let mut client = rig.client();
+        client.send(large(id));
+        clients.push(client);
+    }
+    let mut host = accept(&rig.hosts[0]);
+    turn(&rig);
+    drop(clients);
+    turn(&rig);
+    let mut whole = 0;
+    while let Some((letter, _)) = host.frame() {
+        whole += usize::from(letter == b'm');
+    }
+    assert!(whole < 8, "the last frames are not written");
+}
