--- a/crates/edge/src/upstream/flight.rs
+++ b/crates/edge/src/upstream/flight.rs
@@ -30,7 +30,7 @@
 use serde_json::json;
 
 use crate::tls::{Connector, Session};
-use crate::upstream::{Report, SLOWEST_FRAME};
+use crate::upstream::{drop_late, Report, SLOWEST_FRAME};
 use crate::wire::{Flag, Wire};
 
 /// The bounds of what hosts may send.
@@ -154,10 +154,25 @@
         self.queue.iter().map(Vec::len).sum::<usize>() + self.calls.len()
     }
 
-    /// Nothing is out, on its way or being opened.
+    /// Nothing is out or on its way.
     #[must_use]
     pub fn rests(&self) -> bool {
-        self.load() == 0 && self.probe.is_none() && matches!(self.state, State::Up(..))
+        self.load() == 0 && self.probe.is_none()
+    }
+
+    /// It is not up yet, and would have nothing to carry.
+    #[must_use]
+    pub fn dials_in_vain(&self) -> bool {
+        !matches!(self.state, State::Up(..)) && self.queue.is_empty() && self.probe.is_none()
+    }
+
+    /// Takes back those of the parts that wait here that were not handed over.
+    pub fn take_back(&mut self, which: impl Fn(&Send) -> bool, reports: &mut Vec<Report>) {
+        for sends in &mut self.queue {
+            let taken = sends.extract_if(.., |send| which(send));
+            reports.extend(taken.map(|send| Report::Ended(send.attempt, Outcome::NeverSent, None)));
+        }
+        self.queue.retain(|sends| !sends.is_empty());
     }
 
     /// When it was last of use.
@@ -188,8 +203,7 @@
 
     /// Nobody waits for an attempt any more. A stream that nobody waits for is reset.
     pub fn abandon(&mut self, now: Micros, attempt: AttemptId, reports: &mut Vec<Report>) -> bool {
-        self.queue.iter_mut().for_each(|sends| sends.retain(|send| send.attempt != attempt));
-        self.queue.retain(|sends| !sends.is_empty());
+        self.take_back(|send| send.attempt == attempt, reports);
         let before = self.calls.len();
         let budget = &self.terms.budget;
         self.calls.retain_mut(|call| {
@@ -293,7 +307,8 @@
             }
         }
         let State::Up(connection, sender, pings) = &mut self.state else { return true };
-        while let Some(sends) = self.queue.pop_front() {
+        while let Some(mut sends) = self.queue.pop_front() {
+            drop_late(now, &mut sends, reports);
             self.next_call += 1;
             for send in &sends {
                 let place = (self.next_call, sends.len());
@@ -414,7 +429,7 @@
         let request = http::Request::post(format!("{scheme}://{addr}{}DoGet", grpc::SERVICE))
             .header("content-type", grpc::CONTENT_TYPE)
             .header("te", "trailers")
-            .header("grpc-timeout", grpc::write_timeout(send.wait))
+            .header("grpc-timeout", grpc::write_timeout(send.left(now)))
             .header("grpc-accept-encoding", grpc::ACCEPTED)
             .body(())
             .map_err(|_| Reason::INTERNAL_ERROR)?;
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -6,7 +6,7 @@
 use crate::token;
 use crate::upstream::flight::{FlightLink, Terms};
 use crate::upstream::frames::{self, Said};
-use crate::upstream::{Report, SLOWEST_FRAME};
+use crate::upstream::{drop_late, Report, SLOWEST_FRAME};
 use mallowgauge_core::links::{choose, fullest, gives_way, Choice, Room, Shares, View};
 use mallowgauge_core::{AttemptId, Send};
 use mallowgauge_net::{Handle, ReadEnd, Stream, Token};
@@ -17,10 +17,22 @@
 /// A connection is closed after this share of the time after which hosts close it.
 const IDLE_SHARE: f64 = 0.8;
 
-#[derive(Debug)]
+/// What discovery tells of a host, as far as it matters to connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Place {
     addr: SocketAddr,
     flight: bool,
+    cell: u32,
+    /// It takes new parts.
+    ready: bool,
+    started: Option<Micros>,
+}
+
+impl Place {
+    /// Whether a part that was sent to the host when it stood there may still begin.
+    fn still(&self, before: &Place) -> bool {
+        self.ready && (self.addr, self.cell) == (before.addr, before.cell)
+    }
 }
 
 /// Connections to the hosts.
@@ -54,6 +66,8 @@
 struct Connection {
     server: ServerId,
     addr: SocketAddr,
+    /// When its dial began.
+    opened: Micros,
     link: Link,
     /// What stands of it in the pool's `due` and `bytes`.
     due: Option<Micros>,
@@ -104,7 +118,7 @@
         }
     }
 
-    /// Nothing is out, on its way or being opened.
+    /// Nothing is out or on its way.
     fn rests(&self) -> bool {
         match self {
             Link::Frames(link) => link.rests(),
@@ -112,6 +126,22 @@
         }
     }
 
+    /// It is not up yet, and would have nothing to carry.
+    fn dials_in_vain(&self) -> bool {
+        match self {
+            Link::Frames(link) => link.dials_in_vain(),
+            Link::Flight(link) => link.dials_in_vain(),
+        }
+    }
+
+    /// Takes back those of the parts that wait here of which no byte is written.
+    fn take_back(&mut self, which: impl Fn(&Send) -> bool, reports: &mut Vec<Report>) {
+        match self {
+            Link::Frames(link) => link.take_back(which, reports),
+            Link::Flight(link) => link.take_back(which, reports),
+        }
+    }
+
     /// What its buffers hold; of a Flight connection that has a budget of its own, nothing here.
     fn bytes(&self) -> usize {
         match self {
@@ -147,17 +177,42 @@
         }
     }
 
-    /// What discovery tells of a host.
+    /// What discovery tells of a host. Where it drains or has moved, what was not begun there has to go
+    /// elsewhere, however late a dial comes up or a socket has room; where it is a new process, nobody may be
+    /// left to close the connections to the one before.
     pub fn update(&mut self, server: ServerId, host: &Host) {
-        if let Some(addr) = host.addr {
-            let flight = self.flight.every_host || self.flight.hosts.contains(&host.name);
-            self.hosts.insert(server, Place { addr, flight });
+        let Some(addr) = host.addr else { return };
+        let flight = self.flight.every_host || self.flight.hosts.contains(&host.name);
+        let (cell, ready, started) = (host.cell, host.phase == Phase::Ready, host.started);
+        let place = Place { addr, flight, cell, ready, started };
+        let Some(before) = self.hosts.insert(server, place) else { return };
+        if !place.still(&before) {
+            self.take_back(server);
+        }
+        if place.started != before.started {
+            for id in self.held_by(server) {
+                let old = |c: &Connection| place.started.is_some_and(|at| c.opened < at);
+                if self.connections.get(&id).is_some_and(|c| c.link.rests() && old(c)) {
+                    self.remove(id);
+                }
+            }
+        }
+    }
+
+    /// What was sent to a host and not begun never ran, and is decided about anew.
+    fn take_back(&mut self, server: ServerId) {
+        for id in self.held_by(server) {
+            self.with(id, |c, reports| {
+                c.link.take_back(|_| true, reports);
+                !c.link.dials_in_vain()
+            });
         }
     }
 
     /// A host is gone: what is out there is waited for, and nothing else is kept of it.
     pub fn forget(&mut self, now: Micros, server: ServerId) {
         self.hosts.remove(&server);
+        self.take_back(server);
         for id in self.held_by(server) {
             if self.connections.get(&id).is_some_and(|c| c.link.load(now) == 0) {
                 self.remove(id);
@@ -190,7 +245,9 @@
     pub fn call(&mut self, now: Micros, handle: &Handle, server: ServerId, mut sends: Vec<Send>) {
         while !sends.is_empty() {
             let rest = sends.split_off(sends.len().min(self.links.parts_a_call));
-            match self.connection(now, handle, server, &sends) {
+            // Leave to send may have come after the news that the host drains.
+            let ready = self.hosts.get(&server).is_some_and(|place| place.ready);
+            match ready.then(|| self.connection(now, handle, server, &sends)).flatten() {
                 Some(id) => self.with(id, |c, reports| c.link.call(now, sends, reports)),
                 None => {
                     // The want is here: it says nothing of the host.
@@ -237,8 +294,12 @@
     fn connection(&mut self, now: Micros, handle: &Handle, server: ServerId, sends: &[Send]) -> Option<u64> {
         let place = self.hosts.get(&server)?;
         let (addr, flight, links) = (place.addr, place.flight, self.links);
+        let started = place.started.filter(|&at| at <= now).unwrap_or(0);
         let fits = |c: &Connection, load: usize| {
-            c.addr == addr && (load == 0 || load + sends.len() <= links.streams) && c.link.usable(sends)
+            c.addr == addr
+                && c.opened >= started
+                && (load == 0 || load + sends.len() <= links.streams)
+                && c.link.usable(sends)
         };
         let (instead, idle) = loop {
             let held = self.held.get(&server).map(Vec::as_slice).unwrap_or_default();
@@ -296,7 +357,8 @@
                 } else {
                     Link::Frames(FrameLink::new(server, stream, now, until))
                 };
-                self.connections.insert(id, Connection { server, addr, link, due: None, bytes: 0 });
+                self.connections
+                    .insert(id, Connection { server, addr, opened: now, link, due: None, bytes: 0 });
                 self.held.entry(server).or_default().push(id);
                 self.with(id, |_, _| true);
                 Some(id)
@@ -313,18 +375,28 @@
         let silent = self.links.silent;
         for id in self.held_by(server) {
             self.with(id, |c, reports| match &mut c.link {
-                Link::Frames(link) => link.abandon(now, silent, attempt),
+                Link::Frames(link) => link.abandon(now, silent, attempt, reports),
                 Link::Flight(link) => link.abandon(now, attempt, reports),
             });
         }
     }
 
+    /// An attempt is not to begin any more, if it has not.
+    pub fn withdraw(&mut self, server: ServerId, attempt: AttemptId) {
+        for id in self.held_by(server) {
+            self.with(id, |c, reports| {
+                c.link.take_back(|send| send.attempt == attempt, reports);
+                true
+            });
+        }
+    }
+
     /// Probes a host.
     pub fn probe(&mut self, now: Micros, handle: &Handle, server: ServerId) {
         let until = now + self.links.dial;
         match self.connection(now, handle, server, &[]) {
             Some(id) => self.with(id, |c, reports| match &mut c.link {
-                Link::Frames(link) => link.probe(now, until),
+                Link::Frames(link) => link.probe(now, until, reports),
                 Link::Flight(link) => link.probe(now, until, reports),
             }),
             None => self.reports.push(Report::Probed(server, false)),
@@ -414,15 +486,17 @@
     server: ServerId,
     stream: Stream,
     dialling: Option<Micros>,
-    /// Frames of which no byte is written.
+    /// Frames of which no byte is written; they can be taken back.
     queue: VecDeque<Frame>,
-    /// The frame that is being written, with the bytes left of it.
+    /// The frame of which some bytes are written, with those left of it.
     writing: Option<(Frame, Vec<u8>)>,
     out: BTreeMap<String, Out>,
     probes: VecDeque<Micros>,
     late_probes: u32,
     /// The parts whose answers came last: a second copy of one is passed over.
     done: VecDeque<String>,
+    /// How many copies were passed over since the last answer that was due.
+    copies: usize,
     input: Vec<u8>,
     /// Since when a frame has come in part.
     partial: Option<Micros>,
@@ -443,6 +517,7 @@
             probes: VecDeque::new(),
             late_probes: 0,
             done: VecDeque::new(),
+            copies: 0,
             input: Vec::new(),
             partial: None,
             heard: now,
@@ -463,7 +538,20 @@
     fn rests(&self) -> bool {
         let waiting = self.out.values().any(|out| !out.given_up);
         let writes = self.writing.is_some() || !self.queue.is_empty();
-        !waiting && !writes && self.dialling.is_none() && self.probes.is_empty() && self.input.is_empty()
+        !waiting && !writes && self.probes.is_empty() && self.input.is_empty()
+    }
+
+    fn dials_in_vain(&self) -> bool {
+        self.dialling.is_some() && self.queue.is_empty()
+    }
+
+    fn take_back(&mut self, which: impl Fn(&Send) -> bool, reports: &mut Vec<Report>) {
+        for frame in &mut self.queue {
+            let Frame::Call(sends) = frame else { continue };
+            let taken = sends.extract_if(.., |send| which(send));
+            reports.extend(taken.map(|send| Report::Ended(send.attempt, Outcome::NeverSent, None)));
+        }
+        self.queue.retain(|frame| !matches!(frame, Frame::Call(sends) if sends.is_empty()));
     }
 
     fn bytes(&self) -> usize {
@@ -494,14 +582,27 @@
 
     /// Nobody waits for an attempt any more. Where nothing else is out and nothing has been heard since,
     /// the connection may be dead, and goes with it; `false` then.
-    fn abandon(&mut self, now: Micros, silent: Micros, attempt: AttemptId) -> bool {
-        for frame in &mut self.queue {
-            if let Frame::Call(sends) = frame {
-                sends.retain(|send| send.attempt != attempt);
+    fn abandon(
+        &mut self,
+        now: Micros,
+        silent: Micros,
+        attempt: AttemptId,
+        reports: &mut Vec<Report>,
+    ) -> bool {
+        self.take_back(|send| send.attempt == attempt, reports);
+        let was_silent = self.silent_since().is_some_and(|at| at + silent <= now);
+        if let Some(name) = self.half_written(attempt) {
+            // Unless somebody waits for something else here, the frame never becomes whole, and what the
+            // system holds of others before it is not worth sending either.
+            self.queue.push_back(Frame::GiveUp(name));
+            let nobody = self.writing.iter().all(|(frame, _)| self.is_given_up(frame))
+                && self.queue.iter().all(|frame| !matches!(frame, Frame::Call(_)))
+                && self.out.values().all(|out| out.given_up);
+            if nobody {
+                self.stream.abort();
             }
+            return !nobody;
         }
-        self.queue.retain(|frame| !matches!(frame, Frame::Call(sends) if sends.is_empty()));
-        let was_silent = self.silent_since().is_some_and(|at| at + silent <= now);
         let Some((name, out)) = self.out.iter_mut().find(|(_, o)| o.attempt == attempt) else { return true };
         out.given_up = true;
         let name = name.clone();
@@ -510,18 +611,34 @@
         }
         self.queue.push_back(Frame::GiveUp(name));
         self.used = now;
-        self.write(now)
+        self.write(now, reports)
+    }
+
+    /// The name of a part whose frame is written in part.
+    fn half_written(&self, attempt: AttemptId) -> Option<String> {
+        let (Frame::Call(sends), _) = self.writing.as_ref()? else { return None };
+        sends.iter().find(|send| send.attempt == attempt).map(frames::part_name)
+    }
+
+    /// Nobody waits for any part of this frame any more; the word to the host waits behind it.
+    fn is_given_up(&self, frame: &Frame) -> bool {
+        let Frame::Call(sends) = frame else { return false };
+        let given_up = |send: &Send| {
+            let name = frames::part_name(send);
+            self.queue.iter().any(|frame| matches!(frame, Frame::GiveUp(other) if *other == name))
+        };
+        sends.iter().all(given_up)
     }
 
-    fn probe(&mut self, now: Micros, until: Micros) -> bool {
+    fn probe(&mut self, now: Micros, until: Micros, reports: &mut Vec<Report>) -> bool {
         self.used = now;
         self.queue.push_back(Frame::Probe);
         self.probes.push_back(until);
-        self.write(now)
+        self.write(now, reports)
     }
 
     /// Writes what the socket takes; `false` when the connection is over.
-    fn write(&mut self, now: Micros) -> bool {
+    fn write(&mut self, now: Micros, reports: &mut Vec<Report>) -> bool {
         if self.dialling.is_some() {
             match self.stream.connected() {
                 None => return true,
@@ -530,10 +647,17 @@
             }
         }
         loop {
-            if self.writing.is_none() {
-                let Some(frame) = self.queue.pop_front() else { return true };
-                let bytes = match &frame {
-                    Frame::Call(sends) => frames::call(sends),
+            let fresh = self.writing.is_none();
+            if fresh {
+                let Some(mut frame) = self.queue.pop_front() else { return true };
+                let bytes = match &mut frame {
+                    Frame::Call(sends) => {
+                        drop_late(now, sends, reports);
+                        if sends.is_empty() {
+                            continue;
+                        }
+                        frames::call(now, sends)
+                    }
                     Frame::GiveUp(part) => frames::give_up(part),
                     Frame::Probe => frames::probe(),
                 };
@@ -541,15 +665,22 @@
             }
             let Some((frame, bytes)) = &mut self.writing else { return true };
             let Ok(done) = self.stream.write(bytes) else { return false };
+            if fresh && done == 0 {
+                // Not begun: until it is, it can be taken back, and its time runs on.
+                self.queue.extend(self.writing.take().map(|(frame, _)| frame));
+                self.queue.rotate_right(1);
+                return true;
+            }
             bytes.drain(..done);
             if !bytes.is_empty() {
                 return true;
             }
             if let Frame::Call(sends) = frame {
                 for send in sends.drain(..) {
-                    let (attempt, until) = (send.attempt, now + send.wait);
-                    let out = Out { attempt, sent: now, until, given_up: false };
-                    self.out.insert(frames::part_name(&send), out);
+                    let (attempt, until, name) = (send.attempt, send.deadline, frames::part_name(&send));
+                    let gives_up = |frame: &Frame| matches!(frame, Frame::GiveUp(other) if *other == name);
+                    let given_up = self.queue.iter().any(gives_up);
+                    self.out.insert(name, Out { attempt, sent: now, until, given_up });
                 }
             }
             self.writing = None;
@@ -558,7 +689,7 @@
 
     /// Goes on as far as the socket lets it; `false` when the connection is over.
     fn ready(&mut self, now: Micros, reports: &mut Vec<Report>) -> bool {
-        if !self.write(now) {
+        if !self.write(now, reports) {
             // What came before the break still counts; a part written whole may have run.
             self.stream.read(&mut self.input, frames::LONGEST + 4);
             let taken = self.take(now, reports);
@@ -607,11 +738,14 @@
                 Said::End(name, outcome, value) => {
                     let Some(out) = self.out.remove(&name) else {
                         // A second copy, or the answer of a part given up long ago.
-                        if self.done.contains(&name) {
+                        // One that goes on and on would keep the loop from everything else.
+                        self.copies += 1;
+                        if self.copies <= DONE && self.done.contains(&name) {
                             continue;
                         }
                         return Err("an answer to no part that was sent here");
                     };
+                    self.copies = 0;
                     self.is_done(name);
                     if !out.given_up {
                         let value = (outcome == Outcome::Served).then(|| value.into());
--- a/crates/edge/tests/discovery_timing.rs
+++ b/crates/edge/tests/discovery_timing.rs
@@ -10,7 +10,7 @@
 use mallowgauge_net::{Handle, Owner, Token};
 use mallowgauge_router::{ListNews, Micros};
 use mallowgauge_settings::Site;
-use mallowgauge_testkit::hand::{accept, addr, full_listener, listener, Wire};
+use mallowgauge_testkit::hand::{accept, addr, listener, Held, Wire};
 use mallowgauge_testkit::settings;
 
 /// A change counts as told this long after discovery had it, on whatever path.
@@ -252,7 +252,8 @@
     in_time(
         "dials that nobody answers",
         worst(|seed| {
-            let (silent, _held) = full_listener();
+            let silent = listener();
+            let _held = Held::dials(&silent);
             let mut world = World::new(seed, &silent);
             let mut from = 0;
             for _ in 0..12 {
@@ -295,7 +296,8 @@
 fn a_moved_discovery_that_is_silent_at_first_is_asked_again_within_4_s() {
     let gap = worst(|seed| {
         let (mut world, _wire, _at) = World::watched(seed);
-        let (silent, _held) = full_listener();
+        let silent = listener();
+        let _held = Held::dials(&silent);
         let news = world.discovery.relocate(world.now, &world.handle, addr(&silent));
         world.take(news);
         let from = world.now;
