Shut a client's connection before closing it, and let what is half in become whole at the end

A connection was closed at once after its last answer (http.rs, flush with no linger), when it had rested for too long (expire) and at the end of a graceful drain (close_idle), and the program then exited over what was left (Gatherer::step). Bytes that came between the last look and the close made that close a reset, and a reset takes what the system still holds of an answer: a client that read slowly and sent two bytes behind its last request got 4,002 of 600,246 bytes. At the end close_idle also closed connections on which half a head had come, and the listeners were closed while clients waited in the backlog for want of descriptors.

Checked and ruled out. TCP_NODELAY is set on every client's socket, so no small write is held back by the system for that. A second SIGTERM, SIGINT and SIGHUP, SIGTERM before the start is over, a request in the backlog, an answer half written and clients that never stop sending were sound before; their tests pass on the old program too.

Every end of a client's connection is now a shutdown first, then reading until the client's end, 0.5 s or 256 KB (Front::shut, State::Lingering). A request read after the shutdown is not sent on; its client finds a clean end. A request that has begun is waited for while the program finishes as before it, a new connection's first one for 0.25 s. The program ends once no client is connected; listeners close once nobody waits to be accepted.

Tests over real connections, red on the program before this: a_request_after_the_shutdown_is_neither_sent_on_nor_met_by_a_reset, a_request_half_in_when_the_program_finishes_is_answered, what_was_written_before_the_last_look_is_answered, clients_in_the_backlog_are_not_reset_for_want_of_descriptors, a_last_answer_is_not_lost_to_bytes_behind_its_request.

--- a/crates/edge/src/front/http.rs
+++ b/crates/edge/src/front/http.rs
@@ -28,6 +28,8 @@
 /// A client's first request follows its connection at once: with no room left, one that has kept silent
 /// for longer than this goes first.
 const FIRST_BYTES: Micros = 50_000;
+/// While the program finishes, a new connection's first request is waited for as long as this.
+const FIRST_REQUEST: Micros = 250_000;
 /// A connection that was in use so short a while ago makes no room for a crowd.
 const KEPT: Micros = 2_000_000;
 /// A client that has more to say waits after so many rounds until others have had their turn.
@@ -45,8 +47,8 @@
     Asked,
     /// The last answer is being written.
     Closing,
-    /// The last answer is written, but the client may still be sending: a close now would reset the
-    /// connection and could take the answer with it.
+    /// Nothing more will be written, and the client has been told so; what it still sends is passed over until
+    /// it closes too. A close over unread bytes would reset the connection and could take the answer with it.
     Lingering,
 }
 
@@ -57,8 +59,8 @@
     state: State,
     /// The client wants the connection closed after this answer.
     close: bool,
-    /// The client may still be sending when the last answer is written: so much of it is passed over.
-    linger: Option<usize>,
+    /// So much of what the client sends after the last answer is passed over.
+    linger: usize,
     /// No request of this client has become whole yet.
     fresh: bool,
     /// A request has begun to come in.
@@ -140,10 +142,20 @@
         self.ready(now, id, core);
         let owes = |c: &Connection| matches!(c.state, State::Asked) || !c.output.is_empty();
         if !self.connections.get(&id).is_some_and(owes) {
+            self.shut(now, id, core);
             self.connections.remove(&id);
         }
     }
 
+    /// Tells a client that nothing more will be written, and only then reads what it has sent until then: a
+    /// request among that was not answered, and its client sends it again elsewhere.
+    fn shut(&mut self, now: Micros, id: u64, core: &mut Core) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.shut(now);
+            self.ready(now, id, core);
+        }
+    }
+
     /// Takes an accepted connection.
     pub fn accept(&mut self, now: Micros, handle: &Handle, socket: std::net::TcpStream) {
         let id = self.next;
@@ -160,7 +172,7 @@
                         output,
                         state,
                         close: false,
-                        linger: None,
+                        linger: LINGER_BYTES,
                         fresh: true,
                         begun: false,
                         since: now,
@@ -194,12 +206,11 @@
         self.ready(now, id, core);
     }
 
-    /// Whether an answer is owed or being written.
+    /// Whether any client is still connected. Each wait for one is bounded, and while the program finishes
+    /// those that rest are not waited for.
     #[must_use]
     pub fn busy(&self) -> bool {
-        let owes =
-            |c: &Connection| !matches!(c.state, State::Idle | State::Lingering) || !c.output.is_empty();
-        self.connections.values().any(owes)
+        !self.connections.is_empty()
     }
 
     /// The program's phase has changed. While it drains, connections stay open: a client that is sent
@@ -208,62 +219,72 @@
         self.phase = phase;
     }
 
-    /// Closes connections without a request, after a last look for one.
-    pub fn close_idle(&mut self, now: Micros, core: &mut Core) {
-        let all: Vec<u64> = self.connections.keys().copied().collect();
-        for id in all {
-            self.ready(now, id, core);
-            let idle = |c: &Connection| matches!(c.state, State::Idle) && c.output.is_empty();
-            if self.connections.get(&id).is_some_and(idle) {
-                self.connections.remove(&id);
-            }
-        }
-    }
-
     /// When the first client has kept it waiting for too long, or has more to read.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
         if !self.again.is_empty() {
             return Some(0);
         }
-        self.connections.values().filter_map(Connection::deadline).min()
+        self.connections.values().filter_map(|c| c.deadline(self.phase)).min()
     }
 
-    /// Goes on where there was more to read, and cuts off clients that have kept it waiting for too long.
+    /// Goes on where there was more to read, and ends connections whose clients have kept it waiting for too
+    /// long, after a last look at what they have sent.
     pub fn expire(&mut self, now: Micros, core: &mut Core) {
         for id in std::mem::take(&mut self.again) {
             self.ready(now, id, core);
         }
-        self.connections.retain(|_, c| match c.deadline() {
-            Some(at) if at <= now && c.begun => {
-                c.refuse_input(now, Bad(408, "the request did not come in time"));
-                c.flush(now)
+        let phase = self.phase;
+        let late = |c: &Connection| c.deadline(phase).is_some_and(|at| at <= now);
+        let all: Vec<u64> = self.connections.iter().filter(|(_, c)| late(c)).map(|(&id, _)| id).collect();
+        for id in all {
+            self.ready(now, id, core);
+            let Some(connection) = self.connections.get_mut(&id).filter(|c| late(c)) else { continue };
+            if connection.rests() {
+                self.shut(now, id, core);
+            } else if connection.begun && connection.output.is_empty() {
+                connection.refuse_input(now, Bad(408, "the request did not come in time"));
+                self.ready(now, id, core);
+            } else {
+                self.connections.remove(&id);
             }
-            Some(at) => at > now,
-            None => true,
-        });
+        }
     }
 }
 
 impl Connection {
     /// It has had an answer, and nothing of another request has come.
     fn is_idle(&self) -> bool {
-        let rests = matches!(self.state, State::Idle) && self.input.is_empty() && self.output.is_empty();
-        rests && !self.fresh
+        self.rests() && !self.fresh
+    }
+
+    /// Nothing of a request has come, and no answer is owed.
+    fn rests(&self) -> bool {
+        matches!(self.state, State::Idle) && self.input.is_empty() && self.output.is_empty()
     }
 
     /// When the client has kept it waiting for too long.
-    fn deadline(&self) -> Option<Micros> {
+    fn deadline(&self, phase: Phase) -> Option<Micros> {
         let wait = match self.state {
-            State::Asked if self.output.is_empty() => return None,
+            State::Asked => return None,
             State::Lingering => LINGER,
             _ if !self.output.is_empty() => SLOWEST_ANSWER,
+            State::Idle if !self.begun && phase == Phase::Finishing => match self.fresh {
+                true => FIRST_REQUEST,
+                false => 0,
+            },
             State::Idle if !self.begun && !self.fresh => LONGEST_IDLE,
             _ => SLOWEST_REQUEST,
         };
         Some(self.since + wait)
     }
 
+    /// Tells the client that nothing more will be written.
+    fn shut(&mut self, now: Micros) {
+        self.stream.finish();
+        (self.state, self.since, self.begun) = (State::Lingering, now, false);
+    }
+
     /// Goes on as far as the socket lets it, within reason.
     fn ready(&mut self, now: Micros, id: u64, core: &mut Core, phase: Phase) -> Next {
         for _ in 0..ROUNDS {
@@ -273,10 +294,8 @@
             let end = self.stream.read(&mut self.input, LONGEST_INPUT);
             let (held, mut moved) = (self.input.len(), false);
             if matches!(self.state, State::Lingering) {
-                match self.linger.and_then(|left| left.checked_sub(held)) {
-                    None => return Next::Over,
-                    left => self.linger = left,
-                }
+                let Some(left) = self.linger.checked_sub(held) else { return Next::Over };
+                self.linger = left;
                 self.input.clear();
             }
             // A client that does not take its answers gets no more of them.
@@ -359,7 +378,7 @@
         tracing::debug!("bad request: {words}");
         self.output.extend(http1::write(status, &[], &error(words), true));
         self.state = State::Closing;
-        (self.linger, self.begun, self.since) = (Some(LINGER_BYTES), false, now);
+        (self.begun, self.since) = (false, now);
         self.input = Vec::new();
     }
 
@@ -379,11 +398,7 @@
             self.output = Vec::new();
         }
         if self.output.is_empty() && matches!(self.state, State::Closing) {
-            if self.linger.is_none() {
-                return false;
-            }
-            self.stream.finish();
-            self.state = State::Lingering;
+            self.shut(now);
         }
         true
     }
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -219,18 +219,16 @@
         self.collect(now);
         self.wishes(now);
         if self.lifecycle.quiet(now) {
-            self.http_accept();
-            self.flight_accept();
-            (self.listener, self.flight_listener) = (None, None);
             self.http.enter(self.lifecycle.phase());
             self.flight.drain(now, &mut self.core);
         }
         if self.lifecycle.phase() == Phase::Finishing {
             // The last look for requests comes before the question whether any is left: one found here
             // has been taken and must be answered.
-            self.http.close_idle(now, &mut self.core);
-            let busy = self.core.open() > 0 || self.http.busy() || self.flight.busy();
-            self.lifecycle.finish(busy);
+            self.http.expire(now, &mut self.core);
+            self.stop_accepting();
+            let open = self.core.open() > 0 || self.listener.is_some();
+            self.lifecycle.finish(open || self.http.busy() || self.flight.busy());
         }
         if let Some(peers) = &mut self.peers {
             peers.flush(now);
@@ -398,6 +396,17 @@
         }
     }
 
+    /// Closes the listeners once nobody waits to be accepted: closing one resets who does.
+    fn stop_accepting(&mut self) {
+        if self.listener.is_some() {
+            self.http_accept();
+            self.flight_accept();
+            if self.resting.is_none() {
+                (self.listener, self.flight_listener) = (None, None);
+            }
+        }
+    }
+
     /// Clients wait to be accepted.
     fn http_accept(&mut self) {
         while self.http.has_room(self.clock.now(), &mut self.core)
--- /dev/null
+++ b/crates/mallowgauge/tests/client_crossings.rs
@@ -0,0 +1,254 @@
+//! Clients that leave, come again, send too much or too little cross with what the program does for them: the
+//! order of events is forced by what is sent and waited for, and by halting the program, so that several things
+//! are ready in one turn.
+
+use std::io::{ErrorKind, Read, Write};
+use std::time::Duration;
+
+use mallowgauge_testkit::hand::{accept, query, End, Heard, Host, Rig, Wire};
+use serde_json::json;
+
+/// A program with one host, and that host. Clients are waited for long, so that what ends a part before is that its
+/// client has gone.
+fn rig() -> (Rig, Host) {
+    within(1024, 1024)
+}
+
+fn within(told: u32, descriptors: u32) -> (Rig, Host) {
+    let mut rig = Rig::within(1, descriptors, |file| {
+        file["limits"]["sockets"] = json!(told);
+        file["settings"]["Limits"]["MaxOpen"] = json!(400);
+        for class in file["settings"]["Classes"].as_array_mut().expect("classes") {
+            class["AimUs"] = json!(50_000_000);
+            class["DeadlineUs"] = json!(60_000_000);
+        }
+    });
+    let host = Host::of(rig.hosts.remove(0));
+    (rig, host)
+}
+
+fn search(id: &str) -> String {
+    query(id, "search", 60_000, &[0])
+}
+
+fn whole(response: Option<(u16, String)>) -> bool {
+    response.is_some_and(|(status, body)| status == 200 && body.contains("\"total\":true"))
+}
+
+/// Another client's query is the next thing that the host hears, and is answered.
+fn serves(rig: &Rig, host: &mut Host, id: &str) {
+    let mut client = rig.client();
+    client.send(search(id));
+    assert_eq!(host.serve("x").id, format!("{id}.0"));
+    assert!(whole(client.response()));
+}
+
+// The request and its client's leave are there in one turn: nothing is sent on.
+#[test]
+fn a_client_that_asks_and_leaves_in_one_moment_is_not_sent_on() {
+    let (rig, mut host) = rig();
+    serves(&rig, &mut host, "first");
+    let mut known = rig.client();
+    known.send("GET /nothing HTTP/1.1\r\n\r\n");
+    assert_eq!(known.response().map(|(status, _)| status), Some(404));
+    rig.halt();
+    let (mut closes, mut resets, mut halves) = (rig.client(), rig.client(), rig.client());
+    closes.send(search("closes"));
+    resets.send(search("resets"));
+    halves.send(search("halves"));
+    known.send(search("known"));
+    halves.finish();
+    resets.reset();
+    drop((closes, known));
+    rig.go_on();
+    serves(&rig, &mut host, "other");
+    assert_eq!(halves.rest().0, "");
+}
+
+// The answer and the leave of a client with one more request behind are there in one turn.
+#[test]
+fn a_request_behind_an_answer_is_not_sent_on_once_its_client_has_gone() {
+    let (rig, mut host) = rig();
+    let mut client = rig.client();
+    client.send(search("a"));
+    let part = host.part();
+    rig.halt();
+    client.send(search("b"));
+    drop(client);
+    host.end(&part, "good", "x");
+    rig.go_on();
+    serves(&rig, &mut host, "other");
+}
+
+// Clients leave at each state; none of them holds anything afterwards.
+#[test]
+fn clients_that_leave_at_any_state_hold_nothing() {
+    let (rig, mut host) = rig();
+    serves(&rig, &mut host, "first");
+    serves(&rig, &mut host, "second");
+    // The first two have gone by the time that a third is answered.
+    let mut third = rig.client();
+    third.send("GET /nothing HTTP/1.1\r\n\r\n");
+    assert_eq!(third.response().map(|(status, _)| status), Some(404));
+    let base = rig.descriptors() - 1;
+    drop(third);
+    for reset in [false, true] {
+        let leave = |client: Wire| if reset { client.reset() } else { drop(client) };
+        let request = search("a");
+        let (head, body) = (&request[..40], &request[..request.len() - 5]);
+        for part in ["", head, body] {
+            let mut client = rig.client();
+            client.send(part);
+            serves(&rig, &mut host, "other");
+            leave(client);
+        }
+        let mut asked = rig.client();
+        asked.send(&request);
+        host.part();
+        leave(asked);
+        assert_eq!(host.hears(), Heard::GivenUp("a.0".into()));
+        // An answer of 600,000 bytes of which it takes some.
+        let mut half = Wire::narrow(rig.program.http);
+        half.send(query("half", "search", 60_000, &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9]));
+        let parts: Vec<_> = (0..10).map(|_| host.part()).collect();
+        parts.iter().for_each(|part| host.end(part, "good", &"x".repeat(60_000)));
+        half.head();
+        leave(half);
+        // One that was cut off, and is still sending.
+        let mut lingers = rig.client();
+        lingers.send("nonsense\r\n\r\n");
+        lingers.head();
+        leave(lingers);
+    }
+    rig.expect_descriptors(base);
+    serves(&rig, &mut host, "last");
+}
+
+// Many leave at once, and some come again at once: who left costs nothing, who came is answered.
+#[test]
+fn a_burst_of_departures_leaves_only_those_who_came_again() {
+    let (rig, mut host) = rig();
+    let mut clients: Vec<Wire> = (0..60).map(|_| rig.client()).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(search(&format!("a{i}")));
+    }
+    let parts: Vec<_> = (0..60).map(|_| host.part()).collect();
+    let base = rig.descriptors();
+    rig.halt();
+    for (i, client) in clients.drain(..).enumerate() {
+        if i % 2 == 0 {
+            client.reset();
+        }
+    }
+    let mut again = rig.client();
+    again.send(search("again"));
+    // Of some the answer is there in the same turn.
+    parts.iter().take(10).for_each(|part| host.end(part, "good", "x"));
+    rig.go_on();
+    let mut given_up = 0;
+    loop {
+        match host.hears() {
+            Heard::GivenUp(_) => given_up += 1,
+            Heard::Part(at, part) => {
+                assert_eq!(part.id, "again.0");
+                host.end(&(at, part), "good", "x");
+                break;
+            }
+        }
+    }
+    assert!(whole(again.response()));
+    while given_up < 50 {
+        assert!(matches!(host.hears(), Heard::GivenUp(_)));
+        given_up += 1;
+    }
+    drop(again);
+    rig.expect_descriptors(base - 60);
+    serves(&rig, &mut host, "last");
+}
+
+// An answer goes out before the close, whatever the client has sent behind its last request: a close over unread
+// bytes would reset the connection and take the rest of the answer with it.
+#[test]
+fn a_last_answer_is_not_lost_to_bytes_behind_its_request() {
+    let (rig, mut host) = rig();
+    let mut client = Wire::narrow(rig.program.http);
+    let request = query("a", "search", 60_000, &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9]);
+    let last = request.replacen("Req-Id", "Connection: close\r\nReq-Id", 1);
+    client.send(last);
+    let parts: Vec<_> = (0..10).map(|_| host.part()).collect();
+    parts.iter().for_each(|part| host.end(part, "good", &"x".repeat(60_000)));
+    let head = client.head();
+    // Each time that the program can write, something that it has not read is there as well.
+    let (mut got, mut end) = (Vec::new(), None);
+    client.0.set_read_timeout(Some(Duration::from_millis(50))).expect("a time-out");
+    while end.is_none() {
+        rig.halt();
+        // At the end the program may have closed.
+        let _ = client.0.write_all(b"\r\n");
+        end = match client.0.read_to_end(&mut got) {
+            Ok(_) => Some(End::Clean),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+            Err(_) => Some(End::Reset),
+        };
+        rig.go_on();
+    }
+    let length = head.split_once("Content-Length: ").and_then(|(_, rest)| rest.split_once('\r'));
+    assert_eq!(
+        (Some(got.len().to_string().as_str()), end),
+        (length.map(|(length, _)| length), Some(End::Clean))
+    );
+}
+
+// Slow, split and chunked requests are one and the same request.
+#[test]
+fn requests_come_in_every_form() {
+    let (rig, mut host) = rig();
+    let mut client = rig.client();
+    for byte in search("bytes").bytes() {
+        client.send([byte]);
+    }
+    host.serve("x");
+    assert!(whole(client.response()));
+    let request = search("chunks");
+    let (head, body) = request.split_once("\r\n\r\n").expect("a head");
+    let (lines, _) = head.rsplit_once("\r\n").expect("lines");
+    let (first, rest) = body.split_at(7);
+    client.send(format!(
+        "{lines}\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n7;x=y\r\n{first}\r\n{:x}\r\n{rest}\r\n0\r\nSum: 1\r\nMore: 2\r\n\r\n{}",
+        rest.len(),
+        search("behind"),
+    ));
+    assert_eq!(host.serve("x").id, "chunks.0");
+    assert!(whole(client.response()));
+    assert_eq!(host.serve("x").id, "behind.0");
+    assert!(whole(client.response()));
+    // An empty line behind a body is no request that has begun.
+    client.send("\r\n");
+    serves(&rig, &mut host, "other");
+    client.send(search("after"));
+    host.serve("x");
+    assert!(whole(client.response()));
+    let mut long = rig.client();
+    long.send(format!("{lines}\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n{}", "x".repeat(65_537)));
+    let (text, end) = long.rest();
+    assert!(text.starts_with("HTTP/1.1 413 "), "{text}");
+    assert_eq!(end, End::Clean);
+}
+
+// Idle clients hold all that clients may hold while discovery is down: the call to discovery and those to hosts
+// have descriptors of their own.
+#[test]
+fn idle_clients_leave_descriptors_for_discovery_and_hosts() {
+    let (rig, mut host) = within(64, 64);
+    accept(&rig.discovery).reset();
+    let crowd: Vec<Wire> = (0..120).map(|_| Wire::dial(rig.program.http)).collect();
+    rig.expect_log("clients wait");
+    let mut watch = accept(&rig.discovery);
+    watch.head();
+    let mut client = rig.client();
+    client.send(search("a"));
+    assert_eq!(host.serve("x").id, "a.0");
+    assert!(whole(client.response()));
+    assert!(!rig.logged("Too many open files"));
+    drop(crowd);
+}
--- /dev/null
+++ b/crates/mallowgauge/tests/shutdown_crossings.rs
@@ -0,0 +1,266 @@
+//! SIGTERM crosses with what clients and hosts do: the order of events is forced by what is sent and waited for,
+//! and by halting the program, so that several things are ready in one turn.
+
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+use mallowgauge_testkit::hand::{query, End, Heard, Host, Rig, Wire};
+use mallowgauge_testkit::{config, program};
+use serde_json::json;
+
+/// Later than the program goes on draining at most, counted from SIGTERM.
+const DRAINED: Duration = Duration::from_millis(2100);
+
+/// A program with one host, and that host.
+fn rig() -> (Rig, Host) {
+    within(1024)
+}
+
+fn within(descriptors: u32) -> (Rig, Host) {
+    let mut rig = Rig::within(1, descriptors, |file| {
+        file["settings"]["Limits"]["MaxOpen"] = json!(400);
+        // A program that is halted for a while does not doubt its host for that.
+        file["settings"]["Classes"][0]["AimUs"] = json!(3_900_000);
+    });
+    let host = Host::of(rig.hosts.remove(0));
+    (rig, host)
+}
+
+/// The program is told to end, and has heard so.
+fn terminate(rig: &Rig) {
+    rig.program.signal(libc::SIGTERM);
+    rig.expect_log("Serving -> Draining");
+}
+
+fn whole(response: Option<(u16, String)>) -> bool {
+    response.is_some_and(|(status, body)| status == 200 && body.contains("\"total\":true"))
+}
+
+// SIGTERM comes while the configuration is still being read: what was begun is ended in order, with exit code 0.
+#[test]
+fn a_sigterm_before_the_program_is_ready_ends_it_in_order() {
+    let folder = std::env::temp_dir().join(format!("mallowgauge-early-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("config.json");
+    assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo runs").success());
+    let mut child = Command::new(program())
+        .env("RELAY_CONFIG", &path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    // Opening a pipe waits for its reader: the program is reading its configuration now.
+    let mut pipe = std::fs::File::create(&path).expect("a pipe");
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+    let none = "127.0.0.1:1".parse().expect("an address");
+    pipe.write_all(config(&[none], none).to_string().as_bytes()).expect("a reader");
+    drop(pipe);
+    let lines: Vec<String> =
+        BufReader::new(child.stdout.take().expect("a pipe")).lines().map_while(Result::ok).collect();
+    let phases: Vec<&str> = lines.iter().filter_map(|line| Some(line.split_once("phase ")?.1)).collect();
+    let ended = child.wait().expect("an exit code").code();
+    std::fs::remove_dir_all(folder).expect("a folder");
+    assert_eq!(
+        phases,
+        ["Starting -> Serving", "Serving -> Draining", "Draining -> Finishing", "Finishing -> Stopped"]
+    );
+    assert_eq!(ended, Some(0));
+}
+
+// A second SIGTERM, SIGINT and SIGHUP change nothing about a stop that is under way.
+#[test]
+fn a_second_sigterm_and_a_reload_cost_nothing() {
+    let (mut rig, mut host) = rig();
+    let mut client = rig.client();
+    client.send(query("a", "search", 4000, &[0]));
+    let part = host.part();
+    terminate(&rig);
+    rig.halt();
+    for signal in [libc::SIGTERM, libc::SIGINT, libc::SIGHUP] {
+        rig.program.signal(signal);
+    }
+    rig.go_on();
+    rig.expect_log("configuration read again");
+    rig.expect_log("Draining -> Finishing");
+    for signal in [libc::SIGTERM, libc::SIGHUP] {
+        rig.program.signal(signal);
+    }
+    host.end(&part, "good", "x");
+    assert!(whole(client.response()));
+    drop(client);
+    assert_eq!(rig.exits(), Some(0));
+}
+
+// Everything that a client can have under way is there in the very turn in which the program ends to take
+// connections: on a resting connection, in the backlog, half read.
+#[test]
+fn what_was_written_before_the_last_look_is_answered() {
+    let (mut rig, mut host) = rig();
+    let mut resting = rig.client();
+    resting.send(query("rests", "search", 4000, &[0]));
+    host.serve("x");
+    assert!(whole(resting.response()));
+    terminate(&rig);
+    rig.halt();
+    let mut backlog = rig.client();
+    backlog.send(query("backlog", "search", 4000, &[0]));
+    resting.send(query("again", "search", 4000, &[0]));
+    let mut half = rig.client();
+    let request = query("half", "search", 4000, &[0]);
+    half.send(&request[..40]);
+    // Halted past the longest drain, the program reads all this in the turn in which it finishes.
+    std::thread::sleep(DRAINED);
+    rig.go_on();
+    rig.expect_log("Draining -> Finishing");
+    half.send(&request[40..]);
+    for _ in 0..3 {
+        host.serve("x");
+    }
+    for client in [&mut backlog, &mut resting, &mut half] {
+        let (text, end) = client.rest();
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+        assert_eq!(end, End::Clean);
+    }
+    drop((backlog, resting, half));
+    assert_eq!(rig.exits(), Some(0));
+}
+
+// Half a head, and half a body, are in when the program takes no more connections: both are waited for.
+#[test]
+fn a_request_half_in_when_the_program_finishes_is_answered() {
+    let (mut rig, mut host) = rig();
+    let request = |id| query(id, "search", 4000, &[0]);
+    let (mut head, mut body) = (rig.client(), rig.client());
+    head.send(&request("head")[..40]);
+    let at = request("body").len() - 9;
+    body.send(&request("body")[..at]);
+    terminate(&rig);
+    rig.expect_log("Draining -> Finishing");
+    body.send(&request("body")[at..]);
+    host.serve("x");
+    head.send(&request("head")[40..]);
+    host.serve("x");
+    for client in [&mut head, &mut body] {
+        assert!(whole(client.response()));
+        assert_eq!(client.rest(), (String::new(), End::Clean));
+    }
+    drop((head, body));
+    assert_eq!(rig.exits(), Some(0));
+}
+
+// A client that rests is told first that nothing more will be written. What it sends after that is read and
+// passed over: no reset, and nothing is sent on.
+#[test]
+fn a_request_after_the_shutdown_is_neither_sent_on_nor_met_by_a_reset() {
+    let (mut rig, mut host) = rig();
+    let mut resting = rig.client();
+    resting.send(query("a", "search", 4000, &[0]));
+    host.serve("x");
+    assert!(whole(resting.response()));
+    terminate(&rig);
+    assert_eq!(resting.rest(), (String::new(), End::Clean));
+    // A reset would come back before the call returns.
+    resting.send(query("b", "search", 4000, &[0]));
+    assert!(resting.0.take_error().expect("a socket").is_none(), "the connection was reset");
+    assert_eq!(resting.rest(), (String::new(), End::Clean));
+    drop(resting);
+    assert_eq!(rig.exits(), Some(0));
+    assert_eq!(host.rest(), []);
+}
+
+// A client that rests until it is ended, and does not close even then, does not keep the program.
+#[test]
+fn clients_that_rest_do_not_keep_the_program() {
+    let (mut rig, _host) = rig();
+    let silent = rig.client();
+    let mut resting = rig.client();
+    resting.send("GET /nothing HTTP/1.1\r\n\r\n");
+    assert_eq!(resting.response().map(|(status, _)| status), Some(404));
+    rig.program.signal(libc::SIGTERM);
+    assert_eq!(rig.exits(), Some(0));
+    drop((silent, resting));
+}
+
+// An answer is half written when the program finishes, to a client that reads late.
+#[test]
+fn an_answer_half_written_is_finished() {
+    let (mut rig, mut host) = rig();
+    let mut client = Wire::narrow(rig.program.http);
+    client.send(query("a", "search", 4000, &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9]));
+    let parts: Vec<_> = (0..10).map(|_| host.part()).collect();
+    terminate(&rig);
+    parts.iter().for_each(|part| host.end(part, "good", &"x".repeat(60_000)));
+    rig.expect_log("Draining -> Finishing");
+    let (status, body) = client.response().expect("a whole answer");
+    assert_eq!((status, body.matches('x').count()), (200, 600_000));
+    assert_eq!(client.rest(), (String::new(), End::Clean));
+    drop(client);
+    assert_eq!(rig.exits(), Some(0));
+}
+
+// Clients go on sending on every connection that stays open: each request is answered, or finds a clean end, and
+// the program ends all the same.
+#[test]
+fn clients_that_never_stop_sending_do_not_keep_the_program() {
+    let (mut rig, mut host) = rig();
+    let mut clients: Vec<Wire> = (0..4).map(|_| rig.client()).collect();
+    let host = std::thread::spawn(move || {
+        let mut served = 0;
+        loop {
+            match host.hears_until_the_end() {
+                Some(Heard::Part(at, part)) => host.end(&(at, part), "good", "x"),
+                Some(_) => continue,
+                None => return served,
+            }
+            served += 1;
+        }
+    });
+    terminate(&rig);
+    let mut answered = 0;
+    while !clients.is_empty() {
+        clients.retain_mut(|client| {
+            let request = query(&format!("q{answered}"), "search", 1000, &[0]);
+            let response = client.0.write_all(request.as_bytes()).ok().and_then(|()| client.response());
+            answered += usize::from(response.is_some());
+            response.is_some_and(|response| {
+                assert!(whole(Some(response)));
+                true
+            })
+        });
+    }
+    assert_eq!(rig.exits(), Some(0));
+    // Nothing was sent on whose client got no answer.
+    assert_eq!(host.join().expect("a host"), answered);
+}
+
+// No descriptors are left when the program finishes: clients in the backlog wait until there are some again.
+#[test]
+fn clients_in_the_backlog_are_not_reset_for_want_of_descriptors() {
+    let (mut rig, mut host) = within(40);
+    let mut first = rig.client();
+    first.send(query("first", "search", 4000, &[0]));
+    let part = host.part();
+    let mut clients = vec![first];
+    while !rig.logged("clients wait") {
+        let mut client = rig.client();
+        client.send(query(&format!("q{}", clients.len()), "search", 4000, &[0]));
+        clients.push(client);
+        assert!(clients.len() < 40, "no end of descriptors");
+        host.look();
+    }
+    // From here on nothing is accepted before something has been closed.
+    let mut last = rig.client();
+    last.send(query("last", "search", 4000, &[0]));
+    terminate(&rig);
+    rig.expect_log("Draining -> Finishing");
+    host.end(&part, "good", "x");
+    for _ in 0..clients.len() {
+        host.serve("x");
+    }
+    for client in clients.iter_mut().chain([&mut last]) {
+        assert!(whole(client.response()));
+    }
+    drop((clients, last));
+    assert_eq!(rig.exits(), Some(0));
+}
--- a/crates/testkit/src/hand.rs
+++ b/crates/testkit/src/hand.rs
@@ -175,6 +175,11 @@
     )
 }
 
+/// States in the system's table of connections.
+const ESTABLISHED: &str = "01";
+const SYN_RECV: &str = "03";
+const FIN_WAIT: &str = "04";
+
 /// A program whose hosts and discovery are in the test's hands.
 pub struct Rig {
     pub program: Program,
@@ -237,3 +242,190 @@
 pub fn addr(listener: &TcpListener) -> SocketAddr {
     listener.local_addr().expect("an address")
 }
+
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Clean,
+    Reset,
+}
+
+impl Wire {
+    /// Reads to the end of the connection: what came, and how it ended.
+    pub fn rest(&mut self) -> (String, End) {
+        let mut bytes = Vec::new();
+        let end = match self.0.read_to_end(&mut bytes) {
+            Ok(_) => End::Clean,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => panic!("no end; so far {} bytes", bytes.len()),
+            Err(_) => End::Reset,
+        };
+        (String::from_utf8(bytes).expect("text"), end)
+    }
+
+    /// Ends the sending side alone.
+    pub fn finish(&self) {
+        self.0.shutdown(std::net::Shutdown::Write).expect("a connection");
+    }
+
+    /// A client's connection that takes no more than a few KB before it is read.
+    pub fn narrow(addr: SocketAddr) -> Self {
+        let socket = socket2::Socket::new(socket2::Domain::for_address(addr), socket2::Type::STREAM, None);
+        let socket = socket.expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("a socket");
+        socket.connect(&addr.into()).expect("a connection");
+        Self::of(socket.into())
+    }
+}
+
+impl Rig {
+    /// Halts the program, so that all that comes until [`Rig::go_on`] is ready in one turn.
+    pub fn halt(&self) {
+        self.program.signal(libc::SIGSTOP);
+        let stat = format!("/proc/{}/stat", self.program.child.id());
+        let until = Instant::now() + PATIENCE;
+        while !std::fs::read_to_string(&stat).expect("a process").contains(") T ") {
+            assert!(Instant::now() < until, "it does not halt");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Lets it go on, once all that was sent to it has come: a busy system hands things over late.
+    pub fn go_on(&self) {
+        let until = Instant::now() + PATIENCE;
+        while !self.all_has_come() {
+            assert!(Instant::now() < until, "something is still on its way");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        self.program.signal(libc::SIGCONT);
+    }
+
+    /// Whether no bytes, ends or resets are on their way to the program, by the system's table of connections.
+    fn all_has_come(&self) -> bool {
+        let fds = std::fs::read_dir(format!("/proc/{}/fd", self.program.child.id())).expect("a process");
+        let links = fds.filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok());
+        let own: Vec<String> = links.map(|link| link.to_string_lossy().into_owned()).collect();
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the table");
+        let rows: Vec<Vec<&str>> = table.lines().skip(1).map(|l| l.split_whitespace().collect()).collect();
+        let front = format!(":{:04X}", self.program.http.port());
+        // Columns: 1 here, 2 there, 3 state, 4 bytes to be sent and read, 9 inode.
+        let is_own =
+            |row: &&Vec<&str>| row[1].ends_with(&front) || own.contains(&format!("socket:[{}]", row[9]));
+        rows.iter().filter(is_own).all(|row| {
+            let other = rows.iter().find(|other| (other[1], other[2]) == (row[2], row[1]));
+            match other {
+                Some(other) => {
+                    row[3] != SYN_RECV && other[3] != FIN_WAIT && other[4].starts_with("00000000:")
+                }
+                None => row[3] != ESTABLISHED && row[3] != SYN_RECV,
+            }
+        })
+    }
+
+    /// How many descriptors the program holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.program.child.id())).expect("a process").count()
+    }
+
+    /// Waits until the program holds no more descriptors than this.
+    pub fn expect_descriptors(&self, most: usize) {
+        let until = Instant::now() + PATIENCE;
+        while self.descriptors() > most {
+            assert!(Instant::now() < until, "{} descriptors, not {most}", self.descriptors());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// What a host hears.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// A part, and on which of the host's connections it came.
+    Part(usize, Part),
+    /// The id of a part that was given up.
+    GivenUp(String),
+}
+
+/// One host with all connections that the program opens to it; probes pass.
+pub struct Host {
+    listener: TcpListener,
+    wires: Vec<Option<Wire>>,
+    heard: std::collections::VecDeque<Heard>,
+}
+
+impl Host {
+    pub fn of(listener: TcpListener) -> Self {
+        Self { listener, wires: Vec::new(), heard: std::collections::VecDeque::new() }
+    }
+
+    /// Takes what has come, and says whether any connection is open.
+    pub fn look(&mut self) -> bool {
+        let come = accept_within(&self.listener, Duration::from_millis(1));
+        self.wires.extend(come.map(Some));
+        for (at, place) in self.wires.iter_mut().enumerate() {
+            let Some(wire) = place else { continue };
+            wire.0.set_nonblocking(true).expect("a socket");
+            let come = wire.0.peek(&mut [0]);
+            wire.0.set_nonblocking(false).expect("a socket");
+            match come {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Ok(1) => match wire.frame() {
+                    Some((b'm', text)) => {
+                        self.heard.extend(parts(&text).into_iter().map(|part| Heard::Part(at, part)));
+                    }
+                    Some((b'n', id)) => self.heard.push_back(Heard::GivenUp(id)),
+                    Some((b'o', _)) => wire.send(frame(b'o', "good")),
+                    Some(_) => {}
+                    None => *place = None,
+                },
+                _ => *place = None,
+            }
+        }
+        self.wires.iter().any(Option::is_some)
+    }
+
+    /// What it hears next.
+    pub fn hears(&mut self) -> Heard {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(heard) = self.heard.pop_front() {
+                return heard;
+            }
+            assert!(Instant::now() < until, "the host hears nothing");
+            self.look();
+        }
+    }
+
+    /// What it hears next; `None` once the program has closed all connections.
+    pub fn hears_until_the_end(&mut self) -> Option<Heard> {
+        let until = Instant::now() + PATIENCE;
+        while self.heard.is_empty() && (self.look() || self.wires.is_empty()) {
+            assert!(Instant::now() < until, "the program goes on");
+        }
+        self.heard.pop_front()
+    }
+
+    /// The next part; panics if something else comes first.
+    pub fn part(&mut self) -> (usize, Part) {
+        match self.hears() {
+            Heard::Part(at, part) => (at, part),
+            other => panic!("{other:?} came first"),
+        }
+    }
+
+    /// Ends a part.
+    pub fn end(&mut self, (at, part): &(usize, Part), end: &str, value: &str) {
+        self.wires[*at].as_mut().expect("an open connection").end(part, end, value);
+    }
+
+    /// Takes the next part and answers it.
+    pub fn serve(&mut self, value: &str) -> Part {
+        let part = self.part();
+        self.end(&part, "good", value);
+        part.1
+    }
+
+    /// What else it hears until the program has closed all connections.
+    pub fn rest(mut self) -> Vec<Heard> {
+        std::iter::from_fn(|| self.hears_until_the_end()).collect()
+    }
+}
