See that a client has gone behind all that it has sent ahead of its answer

While a query is out no more than 16 KiB of what its client sends next was read (http.rs, Connection::ready: LONGEST_INPUT, then ReadEnd::Full with nothing moved, and Wait). The end of the client's bytes lay behind that: a client that had pipelined 25 KB and then closed or reset was taken for present until its time was up, its parts were not given up, and further attempts could begin for it.

Checked and ruled out. A request and its client's end that are read in one go: the core closes the query before the turn and nothing is sent (core.gone, Event::Left before admit in the router). A request behind an answer whose client has gone: the same. The system's word for a half-closed connection was not used, since an end behind a full receive buffer has not come at all.

Behind a query that is out, one more request of the largest size is read, 80 KiB, which is what a connection could hold before (LARGEST). A client that sends more than that ahead of its answer sends bad input: its query is withdrawn, it gets 413 and a close, and nobody else is concerned.

Tests, red on the program before this (the host heard nothing in 20 s): a_departure_behind_pipelined_bytes_is_noticed, a_flood_ahead_of_an_answer_is_turned_down. Sound before and now: a_client_that_asks_and_leaves_in_one_moment_is_not_sent_on, a_request_behind_an_answer_is_not_sent_on_once_its_client_has_gone.

--- a/crates/edge/src/front/http.rs
+++ b/crates/edge/src/front/http.rs
@@ -16,6 +16,9 @@
 const HEALTH: &str = "/healthz";
 /// Read from a client at a time: a whole head fits, and of a body what has come is taken off at once.
 const LONGEST_INPUT: usize = http1::LONGEST_HEAD;
+/// Read from a client that waits for its answer: the end of what it sends, by which it leaves, is seen behind
+/// one more request of the largest size. One that sends more than that is cut off.
+const LONGEST_AHEAD: usize = LONGEST_INPUT + http1::LONGEST_BODY;
 /// Time for a request to become whole, from when its connection was opened or its first bytes came.
 const SLOWEST_REQUEST: Micros = 2_000_000;
 /// Time for a client to take something more of its answer.
@@ -34,8 +37,9 @@
 const KEPT: Micros = 2_000_000;
 /// A client that has more to say waits after so many rounds until others have had their turn.
 const ROUNDS: usize = 16;
-/// The most bytes that a connection can hold: a head or what was read last, and a body or an answer.
-pub const LARGEST: usize = LONGEST_INPUT + http1::LONGEST_BODY;
+/// The most bytes that a connection can hold of what its client sent: a head or what was read last, and a body;
+/// or what was sent ahead of an answer.
+pub const LARGEST: usize = LONGEST_AHEAD;
 
 #[derive(Debug)]
 enum State {
@@ -291,8 +295,14 @@
             if !self.flush(now) {
                 return Next::Over;
             }
-            let end = self.stream.read(&mut self.input, LONGEST_INPUT);
+            let waits = matches!(self.state, State::Asked);
+            let end = self.stream.read(&mut self.input, if waits { LONGEST_AHEAD } else { LONGEST_INPUT });
             let (held, mut moved) = (self.input.len(), false);
+            if waits && end == ReadEnd::Full {
+                core.gone(Asker::Http(id));
+                self.refuse_input(now, Bad(413, "too much came ahead of an answer"));
+                continue;
+            }
             if matches!(self.state, State::Lingering) {
                 let Some(left) = self.linger.checked_sub(held) else { return Next::Over };
                 self.linger = left;
--- a/crates/mallowgauge/tests/client_crossings.rs
+++ b/crates/mallowgauge/tests/client_crossings.rs
@@ -65,6 +65,29 @@
     assert_eq!(halves.rest().0, "");
 }
 
+// A client leaves while its query is out: the host is told, however much its client had sent ahead.
+#[test]
+fn a_departure_behind_pipelined_bytes_is_noticed() {
+    for (count, reset) in [(0, false), (1, false), (1, true), (100, false), (100, true)] {
+        let (rig, mut host) = rig();
+        let mut client = rig.client();
+        client.send(search("a"));
+        assert_eq!(host.part().1.id, "a.0");
+        for i in 0..count {
+            client.send(search(&format!("behind-{i}")));
+        }
+        // The program has read what it reads before the client goes.
+        serves(&rig, &mut host, "other");
+        if reset {
+            client.reset();
+        } else {
+            drop(client);
+        }
+        assert_eq!(host.hears(), Heard::GivenUp("a.0".into()), "{count} behind, reset {reset}");
+        serves(&rig, &mut host, "last");
+    }
+}
+
 // The answer and the leave of a client with one more request behind are there in one turn.
 #[test]
 fn a_request_behind_an_answer_is_not_sent_on_once_its_client_has_gone() {
@@ -80,6 +103,38 @@
     serves(&rig, &mut host, "other");
 }
 
+// A whole request of the largest size may wait behind the one in work; more is bad input, and costs nobody else
+// anything.
+#[test]
+fn a_flood_ahead_of_an_answer_is_turned_down() {
+    let (rig, mut host) = rig();
+    let mut client = rig.client();
+    let mut large = search("large");
+    let (length, room) = (large.len(), 64 * 1024);
+    let old =
+        large.split_once("Content-Length: ").and_then(|(_, rest)| rest.split_once('\r')).expect("a length");
+    let body: usize = old.0.parse().expect("a length");
+    large = large.replacen(&format!("Content-Length: {body}"), &format!("Content-Length: {room}"), 1);
+    large.push_str(&" ".repeat(room - body));
+    assert!(large.len() > length);
+    client.send(search("a") + &large);
+    let part = host.part();
+    serves(&rig, &mut host, "other");
+    host.end(&part, "good", "x");
+    assert!(whole(client.response()));
+    assert_eq!(host.serve("x").id, "large.0");
+    assert!(whole(client.response()));
+    // And now more than that.
+    client.send(search("b"));
+    assert_eq!(host.part().1.id, "b.0");
+    client.send(search("c").repeat(500));
+    let (text, end) = client.rest();
+    assert!(text.starts_with("HTTP/1.1 413 ") && text.contains("Connection: close"), "{text}");
+    assert_eq!(end, End::Clean);
+    assert_eq!(host.hears(), Heard::GivenUp("b.0".into()));
+    serves(&rig, &mut host, "last");
+}
+
 // Clients leave at each state; none of them holds anything afterwards.
 #[test]
 fn clients_that_leave_at_any_state_hold_nothing() {
