Answer what is taken after SIGTERM before the program may be killed

The platform kills the program no sooner than the longest deadline (of which 3 s count at most) and 0.7 s after SIGTERM, and what came more than 0.7 s after SIGTERM and is unanswered then is lost. Nothing knew of that time: a request that became whole 0.65 s after SIGTERM told its host to take 3,999 ms, past the kill at 3.7 s, and connections were taken for up to 2 s where the longest deadline is 0.3 s and the kill may come after 1 s (lifecycle.rs, DRAIN_MOST).

The module plans with the time that a query is given, so no other bound has to move.

Lifecycle::last_answer says when the last answers are due, 0.1 s before the kill; from SIGTERM on the core gives no query more time than that, and refuses at once, with advice, what comes later (Core::answer_by). Draining ends so that what is taken last has half of its time.

Tests, red without it: what_is_taken_late_is_answered_before_the_program_may_be_killed (3,999 ms told), what_is_taken_too_late_is_refused_at_once (sent on with 299 ms where the kill may come in 100), the_last_answer_comes_before_the_program_may_be_killed is new with the method that it tries.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -254,6 +254,8 @@
     planned: BTreeSet<QueryId>,
     tick: Micros,
     bounds: Bounds,
+    /// No query is taken that would have to be answered later than this.
+    answer_by: Option<Micros>,
     queries: BTreeMap<QueryId, Open>,
     ids: BTreeMap<Rc<str>, QueryId>,
     askers: BTreeMap<Asker, QueryId>,
@@ -304,6 +306,7 @@
             planned: BTreeSet::new(),
             tick,
             bounds,
+            answer_by: None,
             queries: BTreeMap::new(),
             ids: BTreeMap::new(),
             askers: BTreeMap::new(),
@@ -439,6 +442,11 @@
         self.events.push(Event::Left(query));
     }
 
+    /// What is taken from now on is answered by then, because the program may be killed soon after.
+    pub fn answer_by(&mut self, by: Option<Micros>) {
+        self.answer_by = by;
+    }
+
     /// How many queries are open.
     pub fn open(&self) -> usize {
         self.queries.len()
@@ -490,7 +498,9 @@
             // Parts are named after the query's id on the way to hosts: two alike could not be told apart.
             return invalid("a query of this id is open");
         }
-        if self.queries.len() + self.open_parts + 1 + ask.parts.len() > self.bounds.max_open {
+        let late = self.answer_by.is_some_and(|by| by <= now);
+        ask.expires_in = ask.expires_in.min(self.answer_by.map_or(Micros::MAX, |by| by.saturating_sub(now)));
+        if late || self.queries.len() + self.open_parts + 1 + ask.parts.len() > self.bounds.max_open {
             let answer = Answer::Refused { retry_after: self.router.retry_after(), untouched: true };
             if !(ask.retry && self.guards(ask.class)) {
                 return Err(answer);
--- a/crates/edge/src/front/flight/mod.rs
+++ b/crates/edge/src/front/flight/mod.rs
@@ -31,7 +31,7 @@
 use mallowgauge_flight::grpc::{self, Code, Encoding, Status};
 use mallowgauge_flight::proto::HealthCheckResponse;
 use mallowgauge_flight::seal;
-use mallowgauge_net::{Handle, Stream, Token};
+use mallowgauge_net::{Handle, ReadEnd, Stream, Token};
 use mallowgauge_router::{ClassId, Micros};
 use mallowgauge_settings::Flight as Settings;
 
@@ -51,6 +51,10 @@
 /// Outcomes are kept for so long, and sessions after their last call.
 const KEEP: Micros = 600_000_000;
 const REST: Micros = 3_600_000_000;
+/// A client that goes on sending behind the end of its connection is listened to for so long, and so much: a close
+/// over unread bytes would reset the connection and could take the last answer with it.
+const LINGER: Micros = 500_000;
+const LINGER_BYTES: usize = 256 * 1024;
 /// A polled query that nobody asks about for so long is given up.
 const UNPOLLED: Micros = 30_000_000;
 
@@ -72,6 +76,7 @@
 }
 
 struct Connection {
+    stream: Rc<Stream>,
     state: State,
     flag: Arc<Flag>,
     waker: Waker,
@@ -80,6 +85,28 @@
     since: Micros,
 }
 
+/// A connection that has ended here and not yet at its client.
+struct Lingering {
+    stream: Rc<Stream>,
+    until: Micros,
+    /// So much more of what its client sends is passed over.
+    left: usize,
+}
+
+impl Lingering {
+    /// Passes over what has come; `false` once the client has closed too, or sends too much.
+    fn goes_on(&mut self) -> bool {
+        let mut passed = Vec::new();
+        match self.stream.read(&mut passed, self.left) {
+            ReadEnd::Blocked => {
+                self.left -= passed.len();
+                self.left > 0
+            }
+            ReadEnd::Full | ReadEnd::Closed => false,
+        }
+    }
+}
+
 /// What came of a query that a call has handed in.
 pub enum Submitted {
     /// Its outcome will come for this caller.
@@ -132,10 +159,13 @@
 /// The connections of the Flight front.
 pub struct Front {
     connections: BTreeMap<u64, Connection>,
+    lingering: BTreeMap<u64, Lingering>,
     /// Which connection a call is on.
     homes: BTreeMap<u64, u64>,
     office: Office,
     acceptor: Option<Acceptor>,
+    /// Connections without a call are not kept any longer.
+    finishing: bool,
 }
 
 impl Office {
@@ -323,7 +353,8 @@
             draining: false,
         };
         let acceptor = settings.tls.as_ref().map(Acceptor::new).transpose()?;
-        Ok(Self { connections: BTreeMap::new(), homes: BTreeMap::new(), office, acceptor })
+        let (connections, lingering, homes) = Default::default();
+        Ok(Self { connections, lingering, homes, office, acceptor, finishing: false })
     }
 
     /// Takes certificate, key and users from settings that were read again; what is open goes on.
@@ -344,6 +375,9 @@
 
     /// Whether one more connection fits; the one that has had no call for longest goes to make room.
     pub fn has_room(&mut self) -> bool {
+        if !self.office.admission.has_room() && self.lingering.pop_first().is_some() {
+            self.office.admission.disconnected();
+        }
         if !self.office.admission.has_room() {
             let idle = self.connections.iter().filter(|(_, c)| c.calls.is_empty());
             if let Some(id) = idle.min_by_key(|(_, c)| c.since).map(|(&id, _)| id) {
@@ -365,7 +399,7 @@
             Ok(session) => session,
             Err(e) => return tracing::warn!("connection not taken: {e}"),
         };
-        let (wire, _) = Wire::new(stream, session.map(tls::Session::Server));
+        let (wire, _) = Wire::new(Rc::clone(&stream), session.map(tls::Session::Server));
         let limits = self.office.admission.limits();
         let mut builder = server::Builder::new();
         builder
@@ -377,7 +411,8 @@
         let state = State::Handshake(Box::pin(builder.handshake(wire)));
         let (flag, waker) = Flag::waker();
         let calls = BTreeMap::new();
-        self.connections.insert(id, Connection { state, flag, waker, calls, draining: false, since: now });
+        let draining = false;
+        self.connections.insert(id, Connection { stream, state, flag, waker, calls, draining, since: now });
         self.office.admission.connected();
     }
 
@@ -388,9 +423,15 @@
     }
 
     fn touch(&mut self, now: Micros, id: u64, core: &mut Core) {
+        if let Some(lingering) = self.lingering.get_mut(&id) {
+            if !lingering.goes_on() {
+                self.lingering.remove(&id);
+                self.office.admission.disconnected();
+            }
+        }
         let Some(connection) = self.connections.get_mut(&id) else { return };
         if !connection.ready(now, id, &mut self.homes, &mut self.office, core) {
-            self.close(id, core);
+            self.close(now, id, core);
         }
     }
 
@@ -410,14 +451,21 @@
         }
     }
 
-    fn close(&mut self, id: u64, core: &mut Core) {
+    fn close(&mut self, now: Micros, id: u64, core: &mut Core) {
         let Some(connection) = self.connections.remove(&id) else { return };
-        self.office.admission.disconnected();
         for (number, mut call) in connection.calls {
             self.homes.remove(&number);
             call.abandon(&mut self.office, core);
             self.office.admission.call_over();
         }
+        let stream = connection.stream;
+        stream.finish();
+        let mut lingering = Lingering { stream, until: now + LINGER, left: LINGER_BYTES };
+        if lingering.goes_on() {
+            self.lingering.insert(id, lingering);
+        } else {
+            self.office.admission.disconnected();
+        }
     }
 
     /// The core has decided.
@@ -428,11 +476,12 @@
         self.post(now, core);
     }
 
-    /// Whether an answer is owed or being written, or a flight runs that nobody waits for just now.
+    /// Whether an answer is owed or being written, or a flight runs that nobody waits for just now. What h2 holds
+    /// of an answer is on its way for as long as the connection is open.
     #[must_use]
     pub fn busy(&self) -> bool {
-        let calls = self.connections.values().flat_map(|c| c.calls.values());
-        !self.office.runs.is_empty() || calls.into_iter().any(Call::is_owed)
+        let owes = |c: &Connection| c.calls.is_empty() || c.calls.values().any(Call::is_owed);
+        !self.office.runs.is_empty() || !self.lingering.is_empty() || self.connections.values().any(owes)
     }
 
     /// Asks every client to take new calls elsewhere; long streams end once what is open on them is answered.
@@ -452,12 +501,19 @@
         }
     }
 
+    /// The program takes no more connections: those without a call end soon.
+    pub fn finish(&mut self, now: Micros, core: &mut Core) {
+        self.finishing = true;
+        self.drain(now, core);
+    }
+
     /// When the first client has kept it waiting for too long, or a flight is over.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
         let calls = self.connections.values().flat_map(|c| c.calls.values());
-        let idle = self.connections.values().filter_map(Connection::idle_until);
-        calls.filter_map(Call::due).chain(idle).chain(self.office.flights.due()).min()
+        let idle = self.connections.values().filter_map(|c| c.idle_until(self.finishing));
+        let lingering = self.lingering.values().map(|lingering| lingering.until);
+        calls.filter_map(Call::due).chain(idle).chain(lingering).chain(self.office.flights.due()).min()
     }
 
     /// Looks at the clock: calls and connections whose clients have kept it waiting for too long are cut off.
@@ -467,8 +523,11 @@
         }
         let late = |at: Option<Micros>| at.is_some_and(|at| at <= now);
         let (mut idle, mut moved) = (Vec::new(), Vec::new());
+        let before = self.lingering.len();
+        self.lingering.retain(|_, lingering| lingering.until > now);
+        (self.lingering.len()..before).for_each(|_| self.office.admission.disconnected());
         for (&id, connection) in &mut self.connections {
-            if late(connection.idle_until()) {
+            if late(connection.idle_until(self.finishing)) {
                 idle.push(id);
             }
             let mut any = false;
@@ -484,7 +543,7 @@
                 moved.push(id);
             }
         }
-        idle.into_iter().for_each(|id| self.close(id, core));
+        idle.into_iter().for_each(|id| self.close(now, id, core));
         // What was decided about these calls has to go out.
         moved.into_iter().for_each(|id| self.ready(now, id, core));
     }
@@ -492,8 +551,12 @@
 
 impl Connection {
     /// How long it is kept while there is no call on it.
-    fn idle_until(&self) -> Option<Micros> {
-        let rest = if matches!(self.state, State::Handshake(_)) { SLOWEST_HANDSHAKE } else { LONGEST_IDLE };
+    fn idle_until(&self, finishing: bool) -> Option<Micros> {
+        let rest = match self.state {
+            _ if finishing => LINGER,
+            State::Handshake(_) => SLOWEST_HANDSHAKE,
+            State::Up(_) => LONGEST_IDLE,
+        };
         self.calls.is_empty().then_some(self.since + rest)
     }
 
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -100,6 +100,7 @@
         let clock = Clock::start();
         let zones = config.site.zones.clone();
         let classes = config.site.classes.len();
+        let longest = config.site.settings.classes.iter().map(|class| class.deadline).max();
         let mut core = Core::new(config.seed, config.site.settings, config.site.classes, config.bounds)
             .map_err(|e| e.to_string())?;
         config.phases.iter().for_each(|phases| core.set_phases(*phases));
@@ -127,7 +128,7 @@
         let peers = peers.transpose()?;
         let mut gatherer = Self {
             clock,
-            lifecycle: Lifecycle::default(),
+            lifecycle: Lifecycle::new(longest.unwrap_or_default()),
             core,
             http: http::Front::new(room.shares.clients),
             flight: flight::Front::new(&setup)?,
@@ -389,6 +390,7 @@
     fn terminate(&mut self) {
         let now = self.clock.now();
         self.lifecycle.terminate(now);
+        self.core.answer_by(self.lifecycle.last_answer());
         self.http.enter(self.lifecycle.phase());
         self.flight.drain(now, &mut self.core);
         if let Some(peers) = &mut self.peers {
--- a/crates/edge/src/lifecycle.rs
+++ b/crates/edge/src/lifecycle.rs
@@ -24,6 +24,12 @@
 const QUIET: Micros = 300_000;
 /// A front that never stops sending does not keep the program for longer than this.
 const DRAIN_MOST: Micros = 2_000_000;
+/// The platform kills the program no sooner than the longest deadline, of which no more than this counts, and
+/// `KILL_AFTER` more after telling it to end.
+const LONGEST_COUNTED: Micros = 3_000_000;
+const KILL_AFTER: Micros = 700_000;
+/// The last answers are written so long before.
+const KILL_MARGIN: Micros = 100_000;
 
 /// The program's phase, and when it moves on.
 #[derive(Debug)]
@@ -31,15 +37,17 @@
     phase: Phase,
     told: Micros,
     accepted: Micros,
+    /// The longest deadline, as far as it counts.
+    longest: Micros,
 }
 
-impl Default for Lifecycle {
-    fn default() -> Self {
-        Self { phase: Phase::Starting, told: 0, accepted: 0 }
+impl Lifecycle {
+    /// The lifecycle of a program whose clients wait for so long at most.
+    #[must_use]
+    pub fn new(longest: Micros) -> Self {
+        Self { phase: Phase::Starting, told: 0, accepted: 0, longest: longest.min(LONGEST_COUNTED) }
     }
-}
 
-impl Lifecycle {
     /// The present phase.
     #[must_use]
     pub fn phase(&self) -> Phase {
@@ -87,10 +95,19 @@
         }
     }
 
+    /// When what is taken after the program was told to end has to be answered; `None` before that.
+    #[must_use]
+    pub fn last_answer(&self) -> Option<Micros> {
+        let told = !matches!(self.phase, Phase::Starting | Phase::Serving);
+        told.then_some(self.told + self.longest + KILL_AFTER - KILL_MARGIN)
+    }
+
     /// When the phase changes by the clock.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
-        let quiet = (self.told + DRAIN_LEAST).max(self.accepted + QUIET).min(self.told + DRAIN_MOST);
+        // What is taken last has half of its time left before the platform kills the program.
+        let most = DRAIN_MOST.min(DRAIN_LEAST + self.longest / 2);
+        let quiet = (self.told + DRAIN_LEAST).max(self.accepted + QUIET).min(self.told + most);
         (self.phase == Phase::Draining).then_some(quiet)
     }
 }
--- a/crates/edge/tests/parts.rs
+++ b/crates/edge/tests/parts.rs
@@ -273,7 +273,7 @@
 // exit without asking whether anything is left.
 #[test]
 fn the_program_stops_only_once_nothing_is_left() {
-    let mut life = Lifecycle::default();
+    let mut life = Lifecycle::new(3_000_000);
     let mut seen = vec![format!("{:?}", life.phase())];
     let mut see = |life: &Lifecycle| seen.push(format!("{:?}", life.phase()));
     life.ready();
@@ -295,6 +295,26 @@
     ");
 }
 
+// Guards what comes after the program was told to end, where deadlines are short or long: the platform kills it
+// no sooner than the longest deadline, of which 3 s count at most, and 0.7 s more.
+#[test]
+fn the_last_answer_comes_before_the_program_may_be_killed() {
+    let (told, second) = (10_000_000, 1_000_000);
+    let end = |longest| {
+        let mut life = Lifecycle::new(longest);
+        life.ready();
+        assert_eq!(life.last_answer(), None);
+        life.terminate(told);
+        // A second signal moves nothing, and clients never stop to connect.
+        life.terminate(told + second);
+        life.accepted(told + 10 * second);
+        (life.due().map(|at| at - told), life.last_answer().map(|at| at - told))
+    };
+    assert_eq!(end(300_000), (Some(800_000), Some(900_000)));
+    assert_eq!(end(3_000_000), (Some(2_000_000), Some(3_600_000)));
+    assert_eq!(end(60_000_000), (Some(2_000_000), Some(3_600_000)));
+}
+
 // Guards the wire against what is no answer: it is said as soon as it shows, before the rest has come. A
 // report that cannot be read takes nothing from a good answer.
 #[test]
--- a/crates/mallowgauge/tests/shutdown_crossings.rs
+++ b/crates/mallowgauge/tests/shutdown_crossings.rs
@@ -7,7 +7,7 @@
 
 use mallowgauge_testkit::hand::{query, End, Heard, Host, Rig, Wire};
 use mallowgauge_testkit::{config, program};
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// Later than the program goes on draining at most, counted from SIGTERM.
 const DRAINED: Duration = Duration::from_millis(2100);
@@ -18,10 +18,15 @@
 }
 
 fn within(descriptors: u32) -> (Rig, Host) {
+    changed(descriptors, |_| {})
+}
+
+fn changed(descriptors: u32, change: impl FnOnce(&mut Value)) -> (Rig, Host) {
     let mut rig = Rig::within(1, descriptors, |file| {
         file["settings"]["Limits"]["MaxOpen"] = json!(400);
         // A program that is halted for a while does not doubt its host for that.
         file["settings"]["Classes"][0]["AimUs"] = json!(3_900_000);
+        change(file);
     });
     let host = Host::of(rig.hosts.remove(0));
     (rig, host)
@@ -199,6 +204,51 @@
     assert_eq!(rig.exits(), Some(0));
 }
 
+// A request becomes whole late, for longer than the platform may let the program live: its host is told less.
+#[test]
+fn what_is_taken_late_is_answered_before_the_program_may_be_killed() {
+    let (mut rig, mut host) = rig();
+    let mut client = rig.client();
+    let request = query("a", "search", 4000, &[0]);
+    client.send(&request[..40]);
+    terminate(&rig);
+    rig.expect_log("Draining -> Finishing");
+    client.send(&request[40..]);
+    let part = host.part();
+    // Deadlines count as 3 s at most, and SIGKILL may come 0.7 s after that. 0.65 s of it are over.
+    assert!(part.1.wait <= 3_700 - 650, "{part:?}");
+    // The host hangs.
+    let (text, end) = client.rest();
+    assert!(text.starts_with("HTTP/1.1 5"), "{text}");
+    assert_eq!(end, End::Clean);
+    drop(client);
+    assert_eq!(rig.exits(), Some(0));
+}
+
+// A request becomes whole so late that nothing can be had for it any more: it is refused at once, and not lost.
+#[test]
+fn what_is_taken_too_late_is_refused_at_once() {
+    let (mut rig, host) = changed(1024, |file| {
+        for class in file["settings"]["Classes"].as_array_mut().expect("classes") {
+            (class["AimUs"], class["DeadlineUs"]) = (json!(200_000), json!(300_000));
+        }
+    });
+    let mut client = rig.client();
+    let request = query("a", "search", 300, &[0]);
+    client.send(&request[..40]);
+    terminate(&rig);
+    rig.expect_log("Draining -> Finishing");
+    // The last answers are due 0.9 s after SIGTERM, and 0.65 s of these are over.
+    std::thread::sleep(Duration::from_millis(300));
+    client.send(&request[40..]);
+    let (text, end) = client.rest();
+    assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("Retry-After: "), "{text}");
+    assert_eq!(end, End::Clean);
+    drop(client);
+    assert_eq!(rig.exits(), Some(0));
+    assert_eq!(host.rest(), []);
+}
+
 // Clients go on sending on every connection that stays open: each request is answered, or finds a clean end, and
 // the program ends all the same.
 #[test]
--- a/crates/testkit/src/hand.rs
+++ b/crates/testkit/src/hand.rs
@@ -426,6 +426,10 @@
 
     /// What else it hears until the program has closed all connections.
     pub fn rest(mut self) -> Vec<Heard> {
+        self.look();
+        if self.wires.is_empty() && self.heard.is_empty() {
+            return Vec::new();
+        }
         std::iter::from_fn(|| self.hears_until_the_end()).collect()
     }
 }
