Listen to a Flight client behind the end of its connection, and finish what h2 still holds of an answer

When a Flight connection was over it was closed at once (front/flight/mod.rs, Front::close). A client that had not yet taken the last answer and said something more, a PING or room in a window, was met by a reset, and the reset took what the system held of that answer: 60,000 bytes, of which the client had some 4,000. At the end of a graceful drain the program also went by calls alone (Front::busy): one whose last bytes are in h2's buffers is over, and the exit took them.

Checked and ruled out. RST_STREAM, a broken connection and a request that comes in with them are sound: a call asks and finds the reset in the same drive (Call::drive, is_reset), and Front::close leaves all its queries before the next turn. h2 ends a connection only with all that has come read, so that only bytes which come after that cross.

While the program finishes, a connection without a call is waited for for 0.5 s (Front::finish).

Test, red on the program before both: an_answer_on_flight_is_not_lost_to_bytes_behind_the_last_call (no status came).

--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -221,7 +221,7 @@
         self.wishes(now);
         if self.lifecycle.quiet(now) {
             self.http.enter(self.lifecycle.phase());
-            self.flight.drain(now, &mut self.core);
+            self.flight.finish(now, &mut self.core);
         }
         if self.lifecycle.phase() == Phase::Finishing {
             // The last look for requests comes before the question whether any is left: one found here
--- a/crates/mallowgauge/tests/shutdown_crossings.rs
+++ b/crates/mallowgauge/tests/shutdown_crossings.rs
@@ -5,8 +5,12 @@
 use std::process::{Command, Stdio};
 use std::time::Duration;
 
+use mallowgauge_flight::grpc;
+use mallowgauge_flight::proto::{FlightDescriptor, FlightInfo};
 use mallowgauge_testkit::hand::{query, End, Heard, Host, Rig, Wire};
+use mallowgauge_testkit::raw::{self, Raw};
 use mallowgauge_testkit::{config, program};
+use prost::Message;
 use serde_json::{json, Value};
 
 /// Later than the program goes on draining at most, counted from SIGTERM.
@@ -204,6 +208,37 @@
     assert_eq!(rig.exits(), Some(0));
 }
 
+// The same on Flight: the last answer is on its way to a client that reads late, its connection ends, and the
+// client says something more.
+#[test]
+fn an_answer_on_flight_is_not_lost_to_bytes_behind_the_last_call() {
+    let (rig, mut host) = rig();
+    let socket = Wire::narrow(rig.program.flight).0;
+    let addr = socket.local_addr().expect("an address");
+    let mut client = Raw::over(socket, 16 << 20);
+    let command = json!({"kind": "search", "id": "a", "ranges": [0], "predicate": "c41e77d0"});
+    let descriptor = FlightDescriptor::command(command.to_string().into());
+    let info = client.ask("GetFlightInfo", &[], &grpc::frame(&descriptor));
+    let info = FlightInfo::decode(info.messages[0].as_slice()).expect("a FlightInfo");
+    let ticket = grpc::frame(info.endpoint[0].ticket.as_ref().expect("a ticket"));
+    let stream = client.call("DoGet", &[], &ticket);
+    host.serve(&"x".repeat(60_000));
+    // Another query shows that the answer has gone out as far as it can.
+    let mut other = rig.client();
+    other.send(query("other", "search", 4000, &[0]));
+    host.serve("x");
+    assert!(whole(other.response()));
+    terminate(&rig);
+    // This acknowledges the end, and the connection is over.
+    client.frame(raw::PING, raw::ACK, 0, &[0x0b, 0x7b, 0xa2, 0xf0, 0x8b, 0x9b, 0xfe, 0x54]);
+    rig.expect_shut(addr);
+    client.frame(raw::PING, 0, 0, &[1; 8]);
+    let reply = client.reply(stream, false);
+    assert_eq!(reply.status(), Some(0));
+    let held = reply.messages.iter().flatten().filter(|&&byte| byte == b'x').count();
+    assert!(held >= 60_000, "{held}");
+}
+
 // A request becomes whole late, for longer than the platform may let the program live: its host is told less.
 #[test]
 fn what_is_taken_late_is_answered_before_the_program_may_be_killed() {
--- a/crates/testkit/src/hand.rs
+++ b/crates/testkit/src/hand.rs
@@ -179,6 +179,7 @@
 const ESTABLISHED: &str = "01";
 const SYN_RECV: &str = "03";
 const FIN_WAIT: &str = "04";
+const FIN_WAIT_2: &str = "05";
 
 /// A program whose hosts and discovery are in the test's hands.
 pub struct Rig {
@@ -321,6 +322,19 @@
         })
     }
 
+    /// Waits until the program has said to this client that nothing more will come, by the system's table.
+    pub fn expect_shut(&self, client: SocketAddr) {
+        let (until, there) = (Instant::now() + PATIENCE, format!(":{:04X}", client.port()));
+        let is_shut = |line: &str| {
+            let row: Vec<&str> = line.split_whitespace().collect();
+            row[2].ends_with(&there) && [FIN_WAIT, FIN_WAIT_2].contains(&row[3])
+        };
+        while !std::fs::read_to_string("/proc/net/tcp").expect("the table").lines().skip(1).any(is_shut) {
+            assert!(Instant::now() < until, "the connection is not shut");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// How many descriptors the program holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.program.child.id())).expect("a process").count()
--- a/crates/testkit/src/raw.rs
+++ b/crates/testkit/src/raw.rs
@@ -133,6 +133,15 @@
         Self { socket, decoder: Decoder::default(), next: 1 }
     }
 
+    /// A client on a connection that is there, which lets so much come before it gives room back.
+    pub fn over(socket: TcpStream, window: u32) -> Self {
+        let mut raw = Self { socket, decoder: Decoder::default(), next: 1 };
+        raw.bytes(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+        raw.frame(SETTINGS, 0, 0, &[&4_u16.to_be_bytes()[..], &window.to_be_bytes()].concat());
+        raw.frame(WINDOW_UPDATE, 0, 0, &window.to_be_bytes());
+        raw
+    }
+
     /// Writes bytes as they are; `false` if the program has closed the connection.
     pub fn bytes(&mut self, bytes: &[u8]) -> bool {
         self.socket.write_all(bytes).is_ok()
