Begin no hold of a fleet whose last client has gone before its first attempt

Where gatherers share records of holds, a query whose client had gone stayed open whatever had become of it (core/src/lib.rs, Core::gone), so that its client could find how it ended. One that waited for a host, with no attempt begun and nothing recorded, was then sent on whenever a host came, with nobody waiting.

Checked and ruled out. The fleet learns of a hold with its first attempt (Handover::leave), or with its end; before that no other gatherer knows of it, and a client that asks again finds what it would find anywhere: that nothing has run. Without a fleet every query was and is closed with its client.

A guarded query ends with the last of those who asked for it, as long as no attempt of it was made.

Not shown: an attempt that waits for leave from the fleet while its client goes is still sent once leave comes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -693,10 +693,14 @@
     /// The client of a query has gone away; nobody is answered.
     pub fn gone(&mut self, asker: Asker) {
         if let Some(query) = self.askers.get(&asker).copied() {
-            let class = self.queries.get(&query).map(|open| open.ask.class);
-            if class.is_some_and(|class| self.guards(class)) {
+            self.askers.remove(&asker);
+            let kept = |open: &Open| {
+                let begun = open.slots.iter().any(|slot| self.counts.contains_key(&slot.part));
+                let mut all = open.riders.iter().chain([&open.asker]);
+                self.guards(open.ask.class) && (begun || all.any(|asker| self.askers.contains_key(asker)))
+            };
+            if self.queries.get(&query).is_some_and(kept) {
                 // Its client may ask again, and has to find how it ended.
-                self.askers.remove(&asker);
                 return;
             }
             self.close(query);
