--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -275,6 +275,8 @@
     planned: BTreeSet<QueryId>,
     tick: Micros,
     bounds: Bounds,
+    /// No query is taken that would have to be answered later than this.
+    answer_by: Option<Micros>,
     queries: BTreeMap<QueryId, Open>,
     ids: BTreeMap<Rc<str>, QueryId>,
     askers: BTreeMap<Asker, QueryId>,
@@ -327,6 +329,7 @@
             planned: BTreeSet::new(),
             tick,
             bounds,
+            answer_by: None,
             queries: BTreeMap::new(),
             ids: BTreeMap::new(),
             askers: BTreeMap::new(),
@@ -462,6 +465,11 @@
         self.events.push(Event::Left(query));
     }
 
+    /// What is taken from now on is answered by then, because the program may be killed soon after.
+    pub fn answer_by(&mut self, by: Option<Micros>) {
+        self.answer_by = by;
+    }
+
     /// How many queries are open.
     pub fn open(&self) -> usize {
         self.queries.len()
@@ -513,7 +521,9 @@
             // Parts are named after the query's id on the way to hosts: two alike could not be told apart.
             return invalid("a query of this id is open");
         }
-        if self.queries.len() + self.open_parts + 1 + ask.parts.len() > self.bounds.max_open {
+        let late = self.answer_by.is_some_and(|by| by <= now);
+        ask.expires_in = ask.expires_in.min(self.answer_by.map_or(Micros::MAX, |by| by.saturating_sub(now)));
+        if late || self.queries.len() + self.open_parts + 1 + ask.parts.len() > self.bounds.max_open {
             let answer = Answer::Refused { retry_after: self.router.retry_after(), untouched: true };
             if !(ask.retry && self.guards(ask.class)) {
                 return Err(answer);
@@ -711,10 +721,14 @@
     /// The client of a query has gone away; nobody is answered.
     pub fn gone(&mut self, asker: Asker) {
         if let Some(query) = self.askers.get(&asker).copied() {
-            let class = self.queries.get(&query).map(|open| open.ask.class);
-            if class.is_some_and(|class| self.guards(class)) {
+            self.askers.remove(&asker);
+            let kept = |open: &Open| {
+                let begun = open.slots.iter().any(|slot| self.counts.contains_key(&slot.part));
+                let mut all = open.riders.iter().chain([&open.asker]);
+                self.guards(open.ask.class) && (begun || all.any(|asker| self.askers.contains_key(asker)))
+            };
+            if self.queries.get(&query).is_some_and(kept) {
                 // Its client may ask again, and has to find how it ended.
-                self.askers.remove(&asker);
                 return;
             }
             self.close(query);
--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -109,6 +109,7 @@
         let zones = config.site.zones.clone();
         let classes = config.site.classes.len();
         let mut settings = config.site.settings;
+        let longest = settings.classes.iter().map(|class| class.deadline).max();
         // On this wire nothing comes unasked: pushed lists come on a watch too, which has to be opened. What has
         // been pushed so far counts as told from the first moment, so the saved list waits for that.
         let pushed = std::mem::replace(&mut settings.discovery, HostLists::Ask) == HostLists::Push;
@@ -139,7 +140,7 @@
         let peers = peers.transpose()?;
         let mut gatherer = Self {
             clock,
-            lifecycle: Lifecycle::default(),
+            lifecycle: Lifecycle::new(longest.unwrap_or_default()),
             core,
             http: http::Front::new(room.shares.clients),
             flight: flight::Front::new(&setup)?,
@@ -244,18 +245,16 @@
         self.collect(now);
         self.wishes(now);
         if self.lifecycle.quiet(now) {
-            self.http_accept();
-            self.flight_accept();
-            (self.listener, self.flight_listener) = (None, None);
             self.http.enter(self.lifecycle.phase());
-            self.flight.drain(now, &mut self.core);
+            self.flight.finish(now, &mut self.core);
         }
         if self.lifecycle.phase() == Phase::Finishing {
             // The last look for requests comes before the question whether any is left: one found here
             // has been taken and must be answered.
-            self.http.close_idle(now, &mut self.core);
-            let busy = self.core.open() > 0 || self.http.busy() || self.flight.busy();
-            self.lifecycle.finish(busy);
+            self.http.expire(now, &mut self.core);
+            self.stop_accepting();
+            let open = self.core.open() > 0 || self.listener.is_some();
+            self.lifecycle.finish(open || self.http.busy() || self.flight.busy());
         }
         if let Some(peers) = &mut self.peers {
             peers.flush(now);
@@ -441,6 +440,7 @@
     fn terminate(&mut self) {
         let now = self.clock.now();
         self.lifecycle.terminate(now);
+        self.core.answer_by(self.lifecycle.last_answer());
         self.http.enter(self.lifecycle.phase());
         self.flight.drain(now, &mut self.core);
         if let Some(peers) = &mut self.peers {
@@ -448,6 +448,17 @@
         }
     }
 
+    /// Closes the listeners once nobody waits to be accepted: closing one resets who does.
+    fn stop_accepting(&mut self) {
+        if self.listener.is_some() {
+            self.http_accept();
+            self.flight_accept();
+            if self.resting.is_none() {
+                (self.listener, self.flight_listener) = (None, None);
+            }
+        }
+    }
+
     /// Clients wait to be accepted.
     fn http_accept(&mut self) {
         while self.http.has_room(self.clock.now(), &mut self.core)
