--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 build:
 	cargo build --release --locked
 
+# ARGS goes on to cargo test.
 test:
-	cargo test --workspace --locked
+	cargo test --workspace --locked $(ARGS)
 
 lint:
 	cargo fmt --all --check
