Count what core and router keep, and let what hosts were sent go with its window

Need: after a flood every map, queue and buffer has to come back to its base, and nothing counted it.

Read: each map of Core and Router with what removes its entries when the client left, the query was answered, refused or timed out, the host was gone, the list was replaced, or the answer came late.

Numbers of attempts whose part has ended in the core (Core::send) are put in and taken out again in the same call.

Change: the list, which comes each ten seconds at the latest, prunes it for all servers. Router::census and Core::census count all that is kept, for reading only.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -439,6 +439,27 @@
         self.events.push(Event::Left(query));
     }
 
+    /// How much is kept here and in the router, by name: tests count whether all of it comes back to its base.
+    pub fn census(&self) -> BTreeMap<&'static str, usize> {
+        let phases = self.phases.as_ref().map_or(0, |phases| phases.hosts.len());
+        let own = [
+            ("open queries", self.queries.len()),
+            ("ids", self.ids.len()),
+            ("askers", self.askers.len()),
+            ("open parts", self.parts.len()),
+            ("counted parts", self.open_parts),
+            ("attempts", self.attempts.len()),
+            ("counts", self.counts.len()),
+            ("timeouts", self.timeouts.len()),
+            ("ends", self.ends.len()),
+            ("planned", self.planned.len()),
+            ("hosts of sketches", phases),
+            ("events", self.events.len()),
+            ("ready", self.ready.len()),
+        ];
+        own.into_iter().chain(self.router.census()).collect()
+    }
+
     /// How many queries are open.
     pub fn open(&self) -> usize {
         self.queries.len()
--- a/crates/router/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -314,8 +314,9 @@
         }
         // A server that is gone is forgotten, or a long day would fill the memory with those replaced.
         let (now, window) = (self.now, self.settings.rules.fall_window);
-        let fresh = |s: &Server| s.sent.back().is_some_and(|(at, _)| at + window >= now);
-        self.servers.retain(|_, s| s.phase != Phase::Gone || !s.calls.is_empty() || fresh(s));
+        self.servers.values_mut().for_each(|s| s.sent.retain(|(at, _)| at + window >= now));
+        let gone = |s: &Server| s.phase == Phase::Gone && s.calls.is_empty() && s.sent.is_empty();
+        self.servers.retain(|_, server| !gone(server));
         self.cells.iter_mut().for_each(Vec::clear);
         for (id, server) in self.servers.iter().filter(|(_, s)| s.phase == Phase::Ready) {
             let cell = server.cell as usize % self.cells.len().max(1);
@@ -993,6 +994,23 @@
         self.loads.get(class.0).map(|load| load.rate)
     }
 
+    /// How much is kept, for tests that count whether all of it comes back to its base.
+    pub fn census(&self) -> [(&'static str, usize); 10] {
+        let sum = |of: fn(&Server) -> usize| self.servers.values().map(of).sum();
+        [
+            ("queries", self.queries.len()),
+            ("parts", self.parts.len()),
+            ("servers", self.servers.len()),
+            ("calls", sum(|server| server.calls.len())),
+            ("sent", sum(|server| server.sent.len())),
+            ("answers", self.answers.len()),
+            ("agenda", self.agenda.len()),
+            ("taken", self.taken.len()),
+            ("begun", self.begun.len()),
+            ("extra", self.extra.len()),
+        ]
+    }
+
     /// What this router makes of each server that it knows.
     pub fn servers(&self) -> impl Iterator<Item = ServerView> + '_ {
         self.servers.iter().map(|(id, server)| ServerView {
