Tell a hold asked before the first link to a peer that it found no keepers

Desk::due (crates/fleet/src/takeover.rs) began with `self.keeper.as_ref()?`, and the keeper is made with the first link: until then nothing that waits there had a time, so no leave was given up after 200 ms, and the record of the core's own end waited for ever. docs/handover.md promises a refusal after 200 ms.

Checked and ruled out: the round of looks (look_round) does nothing without a keeper, and what is written before a first link is taken by nobody, so giving it up tells its client "untouched" rightly.

Change: what waits is due with or without a keeper; only the round of looks needs one.

--- a/crates/fleet/src/takeover.rs
+++ b/crates/fleet/src/takeover.rs
@@ -826,8 +826,9 @@
     /// When something is to be done without a message.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
-        self.keeper.as_ref()?;
-        [self.works.due(), self.tries.first(), Some(self.round + ROUND)].into_iter().flatten().min()
+        // Before a first link there is no keeper to look after; who asks all the same waits, and is told in time.
+        let round = self.keeper.as_ref().map(|_| self.round + ROUND);
+        [self.works.due(), self.tries.first(), round].into_iter().flatten().min()
     }
 
     /// Does all whose time has come.
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -552,3 +552,26 @@
     // The two that are whole tell each of the three once.
     assert!(world.paged > 0 && world.paged <= 200 * 2 * 3, "{} records for 200 ids", world.paged);
 }
+
+// Found by reading: a desk had nothing to do and no time for it before its first link, so that who was asked before
+// was never told anything, however long it waited.
+#[test]
+fn a_hold_asked_before_the_first_link_is_given_up_as_one_that_no_keeper_takes() {
+    let mut desk = World::desk(0, 5);
+    let (id, asked): (Id, _) = ("alone".into(), asked());
+    let (mut now, mut wishes) = (0, Vec::new());
+    desk.want(now, Request { id: &id, asked: &asked, until: LIFE, first: true }, 0, 0);
+    while let Some(due) = desk.due().filter(|due| *due <= LIFE + 2_000 * MS) {
+        now = due.max(now + 1);
+        desk.tick(now);
+        wishes.extend(
+            desk.wishes().into_iter().filter(|wish| !matches!(wish, Wish::Tell(..))).map(|wish| (now, wish)),
+        );
+    }
+    let denied = Wish::Leave { id: Arc::clone(&id), part: 0, attempt: 0, given: false };
+    let told = Wish::Unsure { id: Arc::clone(&id), untouched: true };
+    let at = |what: &Wish| wishes.iter().find(|(_, wish)| wish == what).map(|(at, _)| *at);
+    assert!(at(&denied).is_some_and(|at| at <= 210 * MS), "{wishes:?}");
+    assert!(at(&told).is_some_and(|at| at <= 210 * MS), "{wishes:?}");
+    assert_eq!(desk.load().0, 0, "nothing is kept of it");
+}
