--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -292,6 +292,9 @@
     next_id: u128,
 }
 
+/// What the router counts of what it keeps, in its order.
+const ROUTER_KEEPS: [&str; 10] =
+    ["queries", "parts", "servers", "calls", "sent", "answers", "agenda", "taken", "begun", "extra"];
 /// Most that ask again under one id while it is open.
 const RIDERS: usize = 16;
 /// How far the weights of a query's parts may sum from 1, by rounding.
@@ -470,6 +473,27 @@
         self.answer_by = by;
     }
 
+    /// How much is kept here and in the router, by name: tests count whether all of it comes back to its base.
+    pub fn census(&self) -> BTreeMap<&'static str, usize> {
+        let phases = self.phases.as_ref().map_or(0, |phases| phases.hosts.len());
+        let own = [
+            ("open queries", self.queries.len()),
+            ("ids", self.ids.len()),
+            ("askers", self.askers.len()),
+            ("open parts", self.parts.len()),
+            ("counted parts", self.open_parts),
+            ("attempts", self.attempts.len()),
+            ("counts", self.counts.len()),
+            ("timeouts", self.timeouts.len()),
+            ("ends", self.ends.len()),
+            ("planned", self.planned.len()),
+            ("hosts of sketches", phases),
+            ("events", self.events.len()),
+            ("ready", self.ready.len()),
+        ];
+        own.into_iter().chain(ROUTER_KEEPS.into_iter().zip(self.router.census())).collect()
+    }
+
     /// How many queries are open.
     pub fn open(&self) -> usize {
         self.queries.len()
