--- a/crates/mallowgauge/tests/client_crossings.rs
+++ b/crates/mallowgauge/tests/client_crossings.rs
@@ -307,3 +307,43 @@
     assert!(!rig.logged("Too many open files"));
     drop(crowd);
 }
+
+/// The program's memory, in KB.
+fn resident(rig: &Rig) -> usize {
+    let path = format!("/proc/{}/status", rig.program.child.id());
+    let status = std::fs::read_to_string(path).expect("a process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a line");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+// Floods of clients that send far ahead and go: their connections, buffers and queries are given back.
+#[test]
+fn a_flood_leaves_nothing_behind() {
+    const CLIENTS: usize = 50;
+    let (rig, mut host) = rig();
+    serves(&rig, &mut host, "first");
+    let (base, mut held) = (rig.descriptors(), Vec::new());
+    for round in 0..6 {
+        let mut clients: Vec<Wire> = (0..CLIENTS).map(|_| rig.client()).collect();
+        for (i, client) in clients.iter_mut().enumerate() {
+            client.send(search(&format!("{round}-{i}")) + &search("ahead").repeat(200));
+        }
+        for _ in 0..CLIENTS {
+            host.part();
+        }
+        for (i, client) in clients.into_iter().enumerate() {
+            if i % 2 == 0 {
+                client.reset();
+            }
+        }
+        for _ in 0..CLIENTS {
+            assert!(matches!(host.hears(), Heard::GivenUp(_)));
+        }
+        // Connections to the host may be up to four.
+        rig.expect_descriptors(base + 3);
+        held.push(resident(&rig));
+    }
+    // What a round holds at its height is 2.5 MB, and the first rounds show how much of that the allocator keeps.
+    assert!(held[5] < held[1] + 1024, "{held:?}");
+    serves(&rig, &mut host, "last");
+}
