--- a/crates/mallowgauge/tests/client_crossings.rs
+++ b/crates/mallowgauge/tests/client_crossings.rs
@@ -5,7 +5,11 @@
 use std::io::{ErrorKind, Read, Write};
 use std::time::Duration;
 
+use mallowgauge_flight::grpc;
+use mallowgauge_flight::proto::{FlightDescriptor, FlightInfo};
 use mallowgauge_testkit::hand::{accept, query, End, Heard, Host, Rig, Wire};
+use mallowgauge_testkit::raw::{self, Raw};
+use prost::Message;
 use serde_json::json;
 
 /// A program with one host, and that host. Clients are waited for long, so that what ends a part before is that its
@@ -179,6 +183,35 @@
     serves(&rig, &mut host, "last");
 }
 
+// The same on Flight: a call with its reset, and a call with the end of its connection, come in one turn.
+#[test]
+fn a_call_and_its_reset_in_one_moment_are_not_sent_on() {
+    let (rig, mut host) = rig();
+    serves(&rig, &mut host, "first");
+    let connect = |id: &str| {
+        let mut raw = Raw::connect(rig.program.flight);
+        let command = json!({"kind": "search", "id": id, "ranges": [0], "predicate": "c41e77d0"});
+        let descriptor = FlightDescriptor::command(command.to_string().into());
+        let info = raw.ask("GetFlightInfo", &[], &grpc::frame(&descriptor));
+        let info = FlightInfo::decode(info.messages[0].as_slice()).expect("a FlightInfo");
+        (raw, grpc::frame(info.endpoint[0].ticket.as_ref().expect("a ticket")))
+    };
+    let (mut resets, reset) = connect("resets");
+    let (mut closes, close) = connect("closes");
+    let (mut out, asked) = connect("out");
+    let stream = out.call("DoGet", &[], &asked);
+    assert_eq!(host.part().1.id, "out.0");
+    rig.halt();
+    let cancelled = resets.call("DoGet", &[], &reset);
+    resets.frame(raw::RST_STREAM, 0, cancelled, &8_u32.to_be_bytes());
+    closes.call("DoGet", &[], &close);
+    drop(closes);
+    out.frame(raw::RST_STREAM, 0, stream, &8_u32.to_be_bytes());
+    rig.go_on();
+    assert_eq!(host.hears(), Heard::GivenUp("out.0".into()));
+    serves(&rig, &mut host, "last");
+}
+
 // Many leave at once, and some come again at once: who left costs nothing, who came is answered.
 #[test]
 fn a_burst_of_departures_leaves_only_those_who_came_again() {
