--- a/crates/edge/src/gatherer.rs
+++ b/crates/edge/src/gatherer.rs
@@ -60,8 +60,8 @@
     }
 }
 
-/// How long accepting rests when no more descriptors are to be had.
-const REST: Micros = 20_000;
+/// How long accepting backs off when no more descriptors are to be had.
+const ACCEPT_BACK_OFF: Micros = 20_000;
 
 /// The program's parts.
 pub struct Gatherer {
@@ -80,8 +80,8 @@
     roster: Roster,
     zones: Vec<String>,
     listener: Option<Listener>,
-    /// Accepting rests until then.
-    resting: Option<Micros>,
+    /// Accepting backs off until then.
+    backing_off: Option<Micros>,
     load: Load,
 }
 
@@ -140,7 +140,7 @@
             roster: Roster::default(),
             zones,
             listener: Some(listener),
-            resting: None,
+            backing_off: None,
             handle,
             load,
         };
@@ -190,7 +190,7 @@
             self.flight.due(),
             self.lifecycle.due(),
             self.peers.as_ref().and_then(Peers::due),
-            self.resting,
+            self.backing_off,
         ];
         all.into_iter().flatten().min()
     }
@@ -205,8 +205,8 @@
         if let Some(news) = self.discovery.expire(now) {
             self.news(news);
         }
-        if self.resting.is_some_and(|until| until <= now) {
-            self.resting = None;
+        if self.backing_off.is_some_and(|until| until <= now) {
+            self.backing_off = None;
             self.http_accept();
             self.flight_accept();
         }
@@ -403,7 +403,7 @@
         if self.listener.is_some() {
             self.http_accept();
             self.flight_accept();
-            if self.resting.is_none() {
+            if self.backing_off.is_none() {
                 (self.listener, self.flight_listener) = (None, None);
             }
         }
@@ -412,7 +412,7 @@
     /// Clients wait to be accepted.
     fn http_accept(&mut self) {
         while self.http.has_room(self.clock.now(), &mut self.core)
-            || self.rest("no room for another connection")
+            || self.back_off("no room for another connection")
         {
             let Some(socket) = self.accept(|g| &g.listener) else { return };
             self.http.accept(self.clock.now(), &self.handle, socket);
@@ -424,15 +424,15 @@
         if self.flight_listener.is_none() {
             return;
         }
-        while self.flight.has_room() || self.rest("no room for another Flight connection") {
+        while self.flight.has_room() || self.back_off("no room for another Flight connection") {
             let Some(socket) = self.accept(|g| &g.flight_listener) else { return };
             self.flight.accept(self.clock.now(), &self.handle, socket);
         }
     }
 
-    /// The next connection, unless accepting rests.
+    /// The next connection, unless accepting backs off.
     fn accept(&mut self, listener: impl Fn(&Self) -> &Option<Listener>) -> Option<std::net::TcpStream> {
-        if self.resting.is_some() {
+        if self.backing_off.is_some() {
             return None;
         }
         match listener(self).as_ref()?.accept() {
@@ -441,17 +441,17 @@
                 socket
             }
             Err(e) => {
-                self.rest(&e.to_string());
+                self.back_off(&e.to_string());
                 None
             }
         }
     }
 
     /// Leaves clients in the backlog for a while; always `false`.
-    fn rest(&mut self, why: &str) -> bool {
-        if self.resting.is_none() {
+    fn back_off(&mut self, why: &str) -> bool {
+        if self.backing_off.is_none() {
             tracing::warn!("clients wait: {why}");
-            self.resting = Some(self.clock.now() + REST);
+            self.backing_off = Some(self.clock.now() + ACCEPT_BACK_OFF);
         }
         false
     }
