--- a/crates/edge/src/front/flight/mod.rs
+++ b/crates/edge/src/front/flight/mod.rs
@@ -47,7 +47,7 @@
 /// A handshake has to be over by then.
 const SLOWEST_HANDSHAKE: Micros = 2_000_000;
 /// A connection without a call is kept for so long.
-const LONGEST_IDLE: Micros = 120_000_000;
+const KEEP_ALIVE: Micros = 120_000_000;
 /// Outcomes are kept for so long, and sessions after their last call.
 const KEEP: Micros = 600_000_000;
 const REST: Micros = 3_600_000_000;
@@ -555,7 +555,7 @@
         let rest = match self.state {
             _ if finishing => LINGER,
             State::Handshake(_) => SLOWEST_HANDSHAKE,
-            State::Up(_) => LONGEST_IDLE,
+            State::Up(_) => KEEP_ALIVE,
         };
         self.calls.is_empty().then_some(self.since + rest)
     }
--- a/crates/edge/src/front/http.rs
+++ b/crates/edge/src/front/http.rs
@@ -24,7 +24,7 @@
 /// Time for a client to take something more of its answer.
 const SLOWEST_ANSWER: Micros = 10_000_000;
 /// A connection that has had an answer is kept for so long without another request.
-const LONGEST_IDLE: Micros = 10_000_000;
+const KEEP_ALIVE: Micros = 10_000_000;
 /// A client that was cut off may go on sending for so long, and so much, before the close.
 const LINGER: Micros = 500_000;
 const LINGER_BYTES: usize = 256 * 1024;
@@ -277,7 +277,7 @@
                 true => FIRST_REQUEST,
                 false => 0,
             },
-            State::Idle if !self.begun && !self.fresh => LONGEST_IDLE,
+            State::Idle if !self.begun && !self.fresh => KEEP_ALIVE,
             _ => SLOWEST_REQUEST,
         };
         Some(self.since + wait)
