Tell of bad HTTP requests in the log, at each doubling of their number

Bad input has to leave a line in the log, bounded in rate. The HTTP front wrote one at the level debug alone (http.rs, refuse_input), which the program never shows, and none for requests that are whole and make no sense.

The front counts what it answers with a 4xx, and says so at 1, 2, 4, 8 and so on, with the last status.

Test, red before (no line): bad_requests_are_told_in_a_few_lines, a hundred bad requests give seven lines and cost nobody else an answer.

--- a/crates/edge/src/front/http.rs
+++ b/crates/edge/src/front/http.rs
@@ -71,6 +71,8 @@
     begun: bool,
     /// When the present wait for the client began.
     since: Micros,
+    /// How many of its requests were bad since that was last asked, and the last one's status.
+    bad: (u64, u16),
 }
 
 /// How a connection goes on.
@@ -90,6 +92,8 @@
     phase: Phase,
     /// Connections that have more to read.
     again: Vec<u64>,
+    /// Bad requests so far.
+    bad: u64,
 }
 
 impl Front {
@@ -97,7 +101,7 @@
     #[must_use]
     pub fn new(most: usize) -> Self {
         let (connections, again) = (BTreeMap::new(), Vec::new());
-        Self { connections, next: 1, most, phase: Phase::Starting, again }
+        Self { connections, next: 1, most, phase: Phase::Starting, again, bad: 0 }
     }
 
     /// Whether one more connection fits. To make room one goes that has had its last answer, or else one
@@ -180,6 +184,7 @@
                         fresh: true,
                         begun: false,
                         since: now,
+                        bad: (0, 0),
                     },
                 );
             }
@@ -190,7 +195,15 @@
     /// A connection's socket is ready.
     pub fn ready(&mut self, now: Micros, id: u64, core: &mut Core) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        match connection.ready(now, id, core, self.phase) {
+        let next = connection.ready(now, id, core, self.phase);
+        let (count, status) = std::mem::take(&mut connection.bad);
+        let before = self.bad;
+        self.bad += count;
+        // Whoever sends them does not fill the log: each doubling is worth a line.
+        if before.checked_ilog2() != self.bad.checked_ilog2() {
+            tracing::warn!("bad requests: {} so far, the last was answered {status}", self.bad);
+        }
+        match next {
             Next::Wait => {}
             Next::Again => self.again.push(id),
             Next::Over => {
@@ -377,15 +390,24 @@
     }
 
     fn reply(&mut self, now: Micros, Reply(status, extra, body): Reply, phase: Phase) {
+        self.count(status);
         let close = self.close || phase == Phase::Finishing;
         self.output.extend(http1::write(status, &extra, &body, close));
         self.state = if close { State::Closing } else { State::Idle };
         self.since = now;
     }
 
+    /// Takes note of a bad request.
+    fn count(&mut self, status: u16) {
+        if (400..500).contains(&status) {
+            self.bad = (self.bad.0 + 1, status);
+        }
+    }
+
     /// Framing is lost, so nothing more can be read from this client.
     fn refuse_input(&mut self, now: Micros, Bad(status, words): Bad) {
         tracing::debug!("bad request: {words}");
+        self.count(status);
         self.output.extend(http1::write(status, &[], &error(words), true));
         self.state = State::Closing;
         (self.begun, self.since) = (false, now);
--- a/crates/mallowgauge/tests/client_crossings.rs
+++ b/crates/mallowgauge/tests/client_crossings.rs
@@ -380,3 +380,18 @@
     assert!(held[5] < held[1] + 1024, "{held:?}");
     serves(&rig, &mut host, "last");
 }
+
+// Bad input is told in the log, but does not fill it, and costs nobody else an answer.
+#[test]
+fn bad_requests_are_told_in_a_few_lines() {
+    let (rig, mut host) = rig();
+    for i in 0..100 {
+        let mut client = rig.client();
+        client.send(if i % 2 == 0 { "nonsense\r\n\r\n" } else { "GET /nothing HTTP/1.1\r\n\r\n" });
+        assert!(client.response().is_some_and(|(status, _)| status == [400, 404][i % 2]));
+    }
+    serves(&rig, &mut host, "other");
+    rig.expect_log("bad requests: 64 so far");
+    let log = rig.program.log.lock().expect("a sound lock");
+    assert_eq!(log.iter().filter(|line| line.contains("bad requests: ")).count(), 7, "{log:#?}");
+}
