Count those that wait among what is drawn for cold hosts, and draw for less

Need: a cold host may be sent N calls of mean work a window by all routers together, and 2 root of N + 2 more by chance. Nothing held the module to that over all routers: tests/fleet.rs allowed three times two cores.

At fault: crates/router/src/rules.rs, cold_room. The draw goes by the pace of the last seconds, so all that a lost zone leaves waiting goes in one window beside what arrives. And 0.8 of the budget by draws and 0.72 of the natural flow where most holders are warm leave chance less than it needs.

--- a/crates/router/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -58,6 +58,7 @@
 const COPY_SHARE: f64 = 0.5;
 
 const COLD_USE: f64 = 0.8; // Share of our part of the cold budget that is used; the rest covers chance
+const COLD_DRAWN: f64 = 0.75; // Of that, what is drawn for: chance is larger than where each keeps to its own
 const COLD_ONE: f64 = 0.25; // Of all routers' share, what a busy one among many may use
 const COLD_START: f64 = 0.5; // Of that, what a router uses that has just started
 
@@ -194,6 +195,7 @@
     next_call: u64,
     taken: VecDeque<Micros>,
     begun: VecDeque<Micros>, // When the parts of queries arrived that no rate refused
+    waiting: usize,          // Parts of earlier turns that were sent nowhere yet
     extra: VecDeque<Micros>,
     subscribed: bool,
     ask_wait: Micros,
@@ -257,6 +259,9 @@
                 Task::Ask => self.out.extend((!self.subscribed).then_some(Action::Subscribe)),
             }
         }
+        let unsent = |q: &Query| self.parts_of(q).filter(|p| p.attempts.is_empty()).count();
+        let waits = |q: &Query| if q.admitted { unsent(q).saturating_sub(q.reserve.len()) } else { 0 };
+        self.waiting = self.queries.values().map(waits).sum();
         self.admit();
         if !self.to_send.is_empty() {
             self.send_all();
@@ -969,7 +974,9 @@
         // Parts of ours in one window that would go to this server, at the pace of the last seconds: the
         // last window alone holds one query or none where traffic is thin.
         let span = (self.now - self.began).max(rules.fall_window).min(self.budget().window).max(1);
-        let met = self.begun.len() as f64 * rules.fall_window as f64 / span as f64;
+        let met = (self.begun.len() as f64 * rules.fall_window as f64 / span as f64).max(1.0);
+        // Those that wait come beside them: all that a lost zone has left waiting would go in one window.
+        let crowd = 1.0 + self.waiting as f64 / met;
         let (mut holders, mut warm) = (0.0, 0.0);
         for (_, holder) in self.holders(part.shard) {
             (holders, warm) = (holders + 1.0, warm + self.warmth(holder, self.now));
@@ -977,7 +984,7 @@
         let picked = met * holders / self.ready * self.warmth(server, self.now) / warm;
         // Caution while the own pace is not known yet: a herd of routers may have started together.
         let known = (self.now - self.began) as f64 / rules.fall_window.max(1) as f64;
-        let drawn = unit(mix(part.query, ShardId(u32::MAX)));
+        let drawn = unit(mix(part.query, ShardId(u32::MAX))) * crowd / COLD_DRAWN;
         drawn < warm / holders || drawn * work * picked < ours * known.clamp(COLD_START, 1.0)
     }
 
@@ -995,20 +1002,14 @@
     }
 
     /// How much is kept, for tests that count whether all of it comes back to its base.
-    pub fn census(&self) -> [(&'static str, usize); 10] {
+    pub fn census(&self) -> impl Iterator<Item = (&'static str, usize)> {
+        let names = ["queries", "parts", "servers", "calls", "sent", "answers", "agenda", "windows"];
         let sum = |of: fn(&Server) -> usize| self.servers.values().map(of).sum();
-        [
-            ("queries", self.queries.len()),
-            ("parts", self.parts.len()),
-            ("servers", self.servers.len()),
-            ("calls", sum(|server| server.calls.len())),
-            ("sent", sum(|server| server.sent.len())),
-            ("answers", self.answers.len()),
-            ("agenda", self.agenda.len()),
-            ("taken", self.taken.len()),
-            ("begun", self.begun.len()),
-            ("extra", self.extra.len()),
-        ]
+        let maps = [self.queries.len(), self.parts.len(), self.servers.len()];
+        let sums = [sum(|server| server.calls.len()), sum(|server| server.sent.len())];
+        let windows = self.taken.len() + self.begun.len() + self.extra.len();
+        let lasts = [self.answers.len(), self.agenda.len(), windows];
+        names.into_iter().zip(maps.into_iter().chain(sums).chain(lasts))
     }
 
     /// What this router makes of each server that it knows.
