--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -293,8 +293,8 @@
 }
 
 /// What the router counts of what it keeps, in its order.
-const ROUTER_KEEPS: [&str; 10] =
-    ["queries", "parts", "servers", "calls", "sent", "answers", "agenda", "taken", "begun", "extra"];
+const ROUTER_KEEPS: [&str; 8] =
+    ["queries", "parts", "servers", "calls", "sent", "answers", "agenda", "windows"];
 /// Most that ask again under one id while it is open.
 const RIDERS: usize = 16;
 /// How far the weights of a query's parts may sum from 1, by rounding.
--- a/crates/router/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -58,6 +58,7 @@
 const COPY_SHARE: f64 = 0.5;
 
 const COLD_USE: f64 = 0.8; // Share of our part of the cold budget that is used; the rest covers chance
+const COLD_DRAWN: f64 = 0.75; // Of that, what is drawn for: chance is larger than where each keeps to its own
 const COLD_ONE: f64 = 0.25; // Of all routers' share, what a busy one among many may use
 const COLD_START: f64 = 0.5; // Of that, what a router uses that has just started
 
@@ -195,6 +196,7 @@
     next_call: u64,
     taken: VecDeque<Micros>,
     begun: VecDeque<Micros>, // When the parts of queries arrived that no rate refused
+    waiting: usize,          // Parts of earlier turns that were sent nowhere yet
     extra: VecDeque<Micros>,
     subscribed: bool,
     ask_wait: Micros,
@@ -258,6 +260,9 @@
                 Task::Ask => self.out.extend((!self.subscribed).then_some(Action::Subscribe)),
             }
         }
+        let unsent = |q: &Query| self.parts_of(q).filter(|p| p.attempts.is_empty()).count();
+        let waits = |q: &Query| if q.admitted { unsent(q).saturating_sub(q.reserve.len()) } else { 0 };
+        self.waiting = self.queries.values().map(waits).sum();
         self.admit();
         if !self.to_send.is_empty() {
             self.send_all();
@@ -316,8 +321,7 @@
         // A server that is gone is forgotten, or a long day would fill the memory with those replaced.
         let (now, window) = (self.now, self.settings.rules.fall_window);
         self.servers.values_mut().for_each(|s| s.sent.retain(|(at, _)| at + window >= now));
-        let gone = |s: &Server| s.phase == Phase::Gone && s.calls.is_empty() && s.sent.is_empty();
-        self.servers.retain(|_, server| !gone(server));
+        self.servers.retain(|_, s| s.phase != Phase::Gone || !s.calls.is_empty() || !s.sent.is_empty());
         self.cells.iter_mut().for_each(Vec::clear);
         for (id, server) in self.servers.iter().filter(|(_, s)| s.phase == Phase::Ready) {
             let cell = server.cell as usize % self.cells.len().max(1);
@@ -369,8 +373,7 @@
         load.patience = load.patience.max(if arrival.retry { 0 } else { arrival.expires_in });
         // One that comes with under half its time says nothing of load when it misses.
         let counted = aim.saturating_sub(gone).min(arrival.expires_in) < aim / 2;
-        let (class, aim) = (arrival.class, self.now + aim.saturating_sub(gone));
-        let planned = arrival.planned;
+        let (class, aim, planned) = (arrival.class, self.now + aim.saturating_sub(gone), arrival.planned);
         let query = Query { class, arrived: self.now, aim, end, counted, planned, ..Query::default() };
         self.queries.insert(arrival.query, query);
         self.taken.push_back(self.now);
@@ -384,8 +387,7 @@
         if query.admitted {
             self.to_send.push(arrival.part);
         }
-        let (class, shard, weight) = (query.class, arrival.shard, arrival.weight);
-        let harmless = arrival.harmless;
+        let (class, shard, weight, harmless) = (query.class, arrival.shard, arrival.weight, arrival.harmless);
         let part = Part { query: arrival.query, class, shard, weight, harmless, ..Part::default() };
         self.parts.insert(arrival.part, part);
     }
@@ -584,9 +586,8 @@
         }
         attempt.ended = Some(outcome);
         let (server, call, sent, overdue) = (attempt.server, attempt.call, attempt.sent, attempt.overdue);
-        let (class, query, over) = (part.class, part.query, part.over);
+        let (class, query, over, harmless) = (part.class, part.query, part.over, part.harmless);
         let useful = outcome == Outcome::Served && !part.served && !over;
-        let harmless = part.harmless;
         part.served |= useful;
         let waits = !over && !part.served && !part.is_out();
         if over && !part.is_out() {
@@ -922,10 +923,9 @@
     fn repeat_by(&self, part: &Part) -> Micros {
         let first_risk = part.attempts.iter().filter(|a| !a.never_ran()).map(|a| a.sent).min();
         match (self.class(part.class).effect, first_risk) {
-            (Effect::Safe, _) | (_, None) => Micros::MAX,
-            _ if part.harmless => Micros::MAX,
-            (Effect::Keyed(window), Some(first)) => first + window,
-            (Effect::Unsafe, Some(_)) => 0,
+            (Effect::Keyed(window), Some(first)) if !part.harmless => first + window,
+            (Effect::Unsafe, Some(_)) if !part.harmless => 0,
+            _ => Micros::MAX,
         }
     }
 
@@ -977,7 +977,9 @@
         // Parts of ours in one window that would go to this server, at the pace of the last seconds: the
         // last window alone holds one query or none where traffic is thin.
         let span = (self.now - self.began).max(rules.fall_window).min(self.budget().window).max(1);
-        let met = self.begun.len() as f64 * rules.fall_window as f64 / span as f64;
+        let met = (self.begun.len() as f64 * rules.fall_window as f64 / span as f64).max(1.0);
+        // Those that wait come beside them: all that a lost zone has left waiting would go in one window.
+        let crowd = 1.0 + self.waiting as f64 / met;
         let (mut holders, mut warm) = (0.0, 0.0);
         for (_, holder) in self.holders(part.shard) {
             (holders, warm) = (holders + 1.0, warm + self.warmth(holder, self.now));
@@ -985,7 +987,7 @@
         let picked = met * holders / self.ready * self.warmth(server, self.now) / warm;
         // Caution while the own pace is not known yet: a herd of routers may have started together.
         let known = (self.now - self.began) as f64 / rules.fall_window.max(1) as f64;
-        let drawn = unit(mix(part.query, ShardId(u32::MAX)));
+        let drawn = unit(mix(part.query, ShardId(u32::MAX))) * crowd / COLD_DRAWN;
         drawn < warm / holders || drawn * work * picked < ours * known.clamp(COLD_START, 1.0)
     }
 
@@ -1003,12 +1005,12 @@
     }
 
     /// How much is kept, for tests that count whether all of it comes back to its base.
-    pub fn census(&self) -> [usize; 10] {
+    pub fn census(&self) -> [usize; 8] {
         let sum = |of: fn(&Server) -> usize| self.servers.values().map(of).sum::<usize>();
         let (calls, sent) = (sum(|server| server.calls.len()), sum(|server| server.sent.len()));
+        let windows = self.taken.len() + self.begun.len() + self.extra.len();
         let (queries, parts, servers) = (self.queries.len(), self.parts.len(), self.servers.len());
-        let (taken, begun, extra) = (self.taken.len(), self.begun.len(), self.extra.len());
-        [queries, parts, servers, calls, sent, self.answers.len(), self.agenda.len(), taken, begun, extra]
+        [queries, parts, servers, calls, sent, self.answers.len(), self.agenda.len(), windows]
     }
 
     /// What this router makes of each server that it knows.
