--- a/crates/mallowgauge/tests/client_crossings.rs
+++ b/crates/mallowgauge/tests/client_crossings.rs
@@ -5,7 +5,11 @@
 use std::io::{ErrorKind, Read, Write};
 use std::time::Duration;
 
+use mallowgauge_flight::grpc;
+use mallowgauge_flight::proto::{FlightDescriptor, FlightInfo};
 use mallowgauge_testkit::hand::{accept, query, End, Heard, Host, Rig, Wire};
+use mallowgauge_testkit::raw::{self, Raw};
+use prost::Message;
 use serde_json::json;
 
 /// A program with one host, and that host. Clients are waited for long, so that what ends a part before is that its
@@ -179,6 +183,35 @@
     serves(&rig, &mut host, "last");
 }
 
+// The same on Flight: a call with its reset, and a call with the end of its connection, come in one turn.
+#[test]
+fn a_call_and_its_reset_in_one_moment_are_not_sent_on() {
+    let (rig, mut host) = rig();
+    serves(&rig, &mut host, "first");
+    let connect = |id: &str| {
+        let mut raw = Raw::connect(rig.program.flight);
+        let command = json!({"kind": "search", "id": id, "ranges": [0], "predicate": "c41e77d0"});
+        let descriptor = FlightDescriptor::command(command.to_string().into());
+        let info = raw.ask("GetFlightInfo", &[], &grpc::frame(&descriptor));
+        let info = FlightInfo::decode(info.messages[0].as_slice()).expect("a FlightInfo");
+        (raw, grpc::frame(info.endpoint[0].ticket.as_ref().expect("a ticket")))
+    };
+    let (mut resets, reset) = connect("resets");
+    let (mut closes, close) = connect("closes");
+    let (mut out, asked) = connect("out");
+    let stream = out.call("DoGet", &[], &asked);
+    assert_eq!(host.part().1.id, "out.0");
+    rig.halt();
+    let cancelled = resets.call("DoGet", &[], &reset);
+    resets.frame(raw::RST_STREAM, 0, cancelled, &8_u32.to_be_bytes());
+    closes.call("DoGet", &[], &close);
+    drop(closes);
+    out.frame(raw::RST_STREAM, 0, stream, &8_u32.to_be_bytes());
+    rig.go_on();
+    assert_eq!(host.hears(), Heard::GivenUp("out.0".into()));
+    serves(&rig, &mut host, "last");
+}
+
 // Many leave at once, and some come again at once: who left costs nothing, who came is answered.
 #[test]
 fn a_burst_of_departures_leaves_only_those_who_came_again() {
@@ -307,3 +340,58 @@
     assert!(!rig.logged("Too many open files"));
     drop(crowd);
 }
+
+/// The program's memory, in KB.
+fn resident(rig: &Rig) -> usize {
+    let path = format!("/proc/{}/status", rig.program.child.id());
+    let status = std::fs::read_to_string(path).expect("a process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a line");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+// Floods of clients that send far ahead and go: their connections, buffers and queries are given back.
+#[test]
+fn a_flood_leaves_nothing_behind() {
+    const CLIENTS: usize = 50;
+    let (rig, mut host) = rig();
+    serves(&rig, &mut host, "first");
+    let (base, mut held) = (rig.descriptors(), Vec::new());
+    for round in 0..6 {
+        let mut clients: Vec<Wire> = (0..CLIENTS).map(|_| rig.client()).collect();
+        for (i, client) in clients.iter_mut().enumerate() {
+            client.send(search(&format!("{round}-{i}")) + &search("ahead").repeat(200));
+        }
+        for _ in 0..CLIENTS {
+            host.part();
+        }
+        for (i, client) in clients.into_iter().enumerate() {
+            if i % 2 == 0 {
+                client.reset();
+            }
+        }
+        for _ in 0..CLIENTS {
+            assert!(matches!(host.hears(), Heard::GivenUp(_)));
+        }
+        // Connections to the host may be up to four.
+        rig.expect_descriptors(base + 3);
+        held.push(resident(&rig));
+    }
+    // What a round holds at its height is 2.5 MB, and the first rounds show how much of that the allocator keeps.
+    assert!(held[5] < held[1] + 1024, "{held:?}");
+    serves(&rig, &mut host, "last");
+}
+
+// Bad input is told in the log, but does not fill it, and costs nobody else an answer.
+#[test]
+fn bad_requests_are_told_in_a_few_lines() {
+    let (rig, mut host) = rig();
+    for i in 0..100 {
+        let mut client = rig.client();
+        client.send(if i % 2 == 0 { "nonsense\r\n\r\n" } else { "GET /nothing HTTP/1.1\r\n\r\n" });
+        assert!(client.response().is_some_and(|(status, _)| status == [400, 404][i % 2]));
+    }
+    serves(&rig, &mut host, "other");
+    rig.expect_log("bad requests: 64 so far");
+    let log = rig.program.log.lock().expect("a sound lock");
+    assert_eq!(log.iter().filter(|line| line.contains("bad requests: ")).count(), 7, "{log:#?}");
+}
