--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -187,6 +187,15 @@
         Self { child, http, flight, log, config }
     }
 
+    /// Changes its configuration and has it read again.
+    pub fn reconfigure(&self, change: impl FnOnce(&mut Value)) {
+        let text = std::fs::read_to_string(&self.config).expect("its file");
+        let mut file = serde_json::from_str(&text).expect("JSON");
+        change(&mut file);
+        std::fs::write(&self.config, file.to_string()).expect("its file");
+        self.signal(libc::SIGHUP);
+    }
+
     pub fn signal(&self, signal: libc::c_int) {
         let pid = self.child.id().to_string();
         let sent = Command::new("kill").args([format!("-{signal}"), pid]).status().expect("kill runs");
