--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -167,8 +167,8 @@
 }
 
 impl Program {
-    pub fn start(config: &Value, operator: &Value, descriptors: u32) -> Self {
-        let (mut child, config) = spawn(config, operator, descriptors);
+    pub fn start(file: &Value, operator: &Value, descriptors: u32) -> Self {
+        let (mut child, config) = spawn(file, operator, descriptors);
         let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
         let mut listens = |what: &str| loop {
             let line = lines.next().expect("the program goes on").expect("text");
@@ -176,7 +176,8 @@
                 return addr.trim().parse().expect("an address");
             }
         };
-        let (http, flight) = (listens("n1 listens on "), listens("Flight listens on "));
+        let name = file["name"].as_str().expect("a name");
+        let (http, flight) = (listens(&format!("{name} listens on ")), listens("Flight listens on "));
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = Arc::clone(&log);
         std::thread::spawn(move || {
