Mend a probe's answer that ended the program, and hold every parser to cut and spoilt bytes

Need: what parsers do with cut, spoilt and endless bytes was held by single examples. Found by the new tests, each seen red before its mend: - frames::read took a probe's answer for whole at its fourth letter though its length promised more, and named bytes that had not come; FrameLink::take drained past the end, and one host's nine bytes ended the whole program ('range end index 10 out of range for slice of length 9', seen on the real program). - A chunk's line or trailer over 1,024 bytes, and the head of a response over 16 KiB, were taken whole and refused in pieces: what the network made of them decided. Refused in both now. - A host's last words went into the log as they were, up to 64 KiB and with line breaks: escaped, 200 bytes. - Messages on spoilt settings, operator's files and lists quoted their input at any length and with line breaks: one line of 500 bytes. Ruled out: a reset that ends a list without length. net says Closed for both, but what is cut is no JSON.

--- a/crates/edge/src/front/http1.rs
+++ b/crates/edge/src/front/http1.rs
@@ -106,8 +106,12 @@
             if self.trailers {
                 // Trailer lines are passed over up to the empty one.
                 let Some(end) = rest.windows(2).position(|pair| pair == b"\r\n") else {
-                    return if rest.len() > LONGEST_CHUNK_LINE { Err(CHUNKS) } else { Ok(false) };
+                    // The first half of its line break may be there already.
+                    return if rest.len() > LONGEST_CHUNK_LINE + 1 { Err(CHUNKS) } else { Ok(false) };
                 };
+                if end > LONGEST_CHUNK_LINE {
+                    return Err(CHUNKS);
+                }
                 *at += end + 2;
                 if end == 0 {
                     return Ok(true);
@@ -121,7 +125,7 @@
             }
             let line = rest.get(skip..).unwrap_or_default();
             match httparse::parse_chunk_size(line) {
-                Ok(Status::Complete((used, size))) => {
+                Ok(Status::Complete((used, size))) if used <= LONGEST_CHUNK_LINE => {
                     *at += skip + used;
                     self.left = usize::try_from(size).unwrap_or(usize::MAX);
                     self.trailers = size == 0;
@@ -129,7 +133,7 @@
                         return Err(Bad(413, "the body is too large"));
                     }
                 }
-                Ok(Status::Partial) if line.len() <= LONGEST_CHUNK_LINE => return Ok(false),
+                Ok(Status::Partial) if line.len() < LONGEST_CHUNK_LINE => return Ok(false),
                 _ => return Err(CHUNKS),
             }
         }
@@ -191,7 +195,7 @@
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     let used = match parsed.parse(input) {
-        Ok(Status::Complete(used)) => used,
+        Ok(Status::Complete(used)) if used <= LONGEST_HEAD => used,
         Ok(Status::Partial) if input.len() < LONGEST_HEAD => return Ok(None),
         _ => return Err(Bad(400, "the head of the response makes no sense")),
     };
--- a/crates/edge/src/upstream/frames.rs
+++ b/crates/edge/src/upstream/frames.rs
@@ -11,6 +11,9 @@
 /// Longest first line of an answer.
 const LONGEST_LINE: usize = 1024;
 
+/// Most of a host's last words that is kept.
+const LONGEST_WORDS: usize = 200;
+
 fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
     let length = u32::try_from(rest.len() + 1).unwrap_or(u32::MAX);
     let mut out = length.to_be_bytes().to_vec();
@@ -80,17 +83,26 @@
     let said = match letter {
         b'q' => end(rest, whole)?,
         b'o' if !whole && rest.len() < 4 => None,
+        b'o' if !whole => return Err("an answer to a probe that is too long"),
         b'o' => Some(Said::Probe(match rest {
             b"good" => true,
             b"bad" => false,
             _ => return Err("an answer to a probe with an unknown end"),
         })),
-        b'r' => whole.then(|| Said::Useless(String::from_utf8_lossy(rest).into_owned())),
+        b'r' => whole.then(|| Said::Useless(last_words(rest))),
         _ => return Err("a frame of an unknown letter"),
     };
     Ok(said.map(|said| (said, 4 + length)))
 }
 
+/// What a host says last, for one line of the log.
+fn last_words(rest: &[u8]) -> String {
+    let words = String::from_utf8_lossy(&rest[..rest.len().min(LONGEST_LINE)]);
+    let mut words = words.escape_debug().to_string();
+    words.truncate(words.floor_char_boundary(LONGEST_WORDS));
+    words
+}
+
 fn end(rest: &[u8], whole: bool) -> Result<Option<Said>, &'static str> {
     let Some(at) = rest.iter().take(LONGEST_LINE).position(|&b| b == b'\n') else {
         let endless = whole || rest.len() >= LONGEST_LINE;
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -77,6 +77,10 @@
     /// # Errors
     /// One line that says what is wrong.
     pub fn load(variable: impl Fn(&str) -> Option<String>, operator: Option<&str>) -> Result<Self, String> {
+        Self::load_all(variable, operator).map_err(crate::one_line)
+    }
+
+    fn load_all(variable: impl Fn(&str) -> Option<String>, operator: Option<&str>) -> Result<Self, String> {
         let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
         let all = file(&path)?;
         let own = own_name(&all, &variable);
--- a/crates/settings/src/hosts.rs
+++ b/crates/settings/src/hosts.rs
@@ -38,6 +38,10 @@
 /// # Errors
 /// Says what is wrong with it.
 pub fn parse(value: &Value) -> Result<List, String> {
+    read(value).map_err(crate::one_line)
+}
+
+fn read(value: &Value) -> Result<List, String> {
     let generation = value.get("generation").and_then(Value::as_u64).ok_or("generation is missing")?;
     let reset = value.get("reset").and_then(Value::as_bool).ok_or("reset is missing")?;
     let list = value.get("instances").and_then(Value::as_array).ok_or("instances is missing")?;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,3 +11,24 @@
 pub use fleet::{Fleet, Peer};
 pub use operator::{Flight, HostTls, LogFormat, Operator, ServerTls};
 pub use site::{small, zone, Section, Site};
+
+/// Longest message about what is wrong with an input.
+const LONGEST_WORDS: usize = 500;
+
+/// A message that quotes its input, as one line of the log.
+fn one_line(words: impl AsRef<str>) -> String {
+    let mut line = String::new();
+    for c in words.as_ref().chars() {
+        if c.is_control() {
+            line.extend(c.escape_default());
+        } else {
+            line.push(c);
+        }
+        if line.len() > LONGEST_WORDS {
+            line.truncate(line.floor_char_boundary(LONGEST_WORDS));
+            line.push('…');
+            break;
+        }
+    }
+    line
+}
--- /dev/null
+++ b/crates/settings/tests/bad_input.rs
@@ -0,0 +1,256 @@
+//! Spoilt files and lists: each is read or refused in one line, never more than that, and what is read is inside the
+//! bounds that the programs rest on.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use mallowgauge_router::Phase;
+use mallowgauge_settings::hosts;
+use mallowgauge_settings::{Config, Site};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{json, Value};
+
+fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn list() -> Value {
+    json!({"generation": 4, "reset": true, "instances": [
+        {"instanceId": "é-1", "hostPort": "127.0.0.1:7070", "zone": "z", "machineType": "m", "cell": 0,
+         "lifecycle": "active", "weight": 1.0, "startedAtMs": 12},
+        {"instanceId": "two", "hostPort": "127.0.0.1:7071", "zone": "z", "machineType": "m", "cell": 1,
+         "lifecycle": "leaving", "weight": 1.0, "startedAtMs": 0},
+        {"instanceId": "three", "lifecycle": "left"}]})
+}
+
+fn platform() -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"Name": name, "AimUs": 900_000, "DeadlineUs": 2_000_000, "LateValue": 0.2, "Semantics": effect,
+               "WindowUs": 700_000, "Worth": 1.0, "AimStretch": 0.5})
+    };
+    let settings = json!({
+        "Az": "b", "Azs": ["a", "b"], "Instances": 3, "TickUs": 4000, "MembershipMode": "automatic",
+        "Charges": {"CrossZone": 0.1},
+        "Classes": [class("p", "free"), class("q", "guarded"), class("r", "single_shot")],
+        "FamilyInfo": {"ClassFloor": [1.0, 0.5, 1.0], "ClassPartial": [0.9, 0.9, 0.9], "CompleteFrom": [1.0, 0.8, 1.0],
+            "FollowUp": [0, 0, 0], "OverheadUs": 100, "PartsACall": 4, "Places": 5, "Shards": 10, "Width": 2},
+        "Limits": {"Cancel": true, "ConnIdleUs": 1_000_000, "DialTimeoutUs": 250_000, "MaxAttempts": 3, "MaxOpen": 20,
+            "MaxRetryAfterUs": 2_000_000, "MaxStreams": 8, "Probing": true, "RetryAfter": true, "SecondCopies": true},
+        "Safety": {"AskWithinUs": 10_000_000, "ColdFrom": 0.2, "FallUs": 900_000, "TipMultiple": 3.0,
+            "WarmWithinUs": 9_000_000, "ResendRatio": 0.3, "BudgetFree": 2.0, "LookBackUs": 5_000_000}});
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+           "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512}, "known": list(), "settings": settings})
+}
+
+fn operator() -> Value {
+    json!({"flight": {"listen": "127.0.0.1:0", "hosts": ["x"], "ticket_s": 60, "token_s": 60},
+           "phases": {"rule": {"share": 0.5}, "sketches": 10, "sketch_ms": 100},
+           "fleet": {"name": "n1", "group": 3, "listen": "127.0.0.1:0", "peers": {"version": 1, "list": [
+               {"name": "n1", "address": "127.0.0.1:7401"}, {"name": "n2", "address": "127.0.0.1:7402"},
+               {"name": "n3", "address": "127.0.0.1:7403"}]}},
+           "log": {"format": "json"}})
+}
+
+/// Every place in a value, by its path.
+fn places(value: &Value, path: &str, found: &mut Vec<String>) {
+    found.push(path.to_owned());
+    match value {
+        Value::Object(fields) => {
+            fields.iter().for_each(|(key, value)| places(value, &format!("{path}/{key}"), found))
+        }
+        Value::Array(list) => {
+            list.iter().enumerate().for_each(|(at, value)| places(value, &format!("{path}/{at}"), found));
+        }
+        _ => {}
+    }
+}
+
+/// No text with a colon: one could be taken for an address, and looked up by its name.
+fn odd() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        Just(json!(0)),
+        Just(json!(1)),
+        Just(json!(-1)),
+        Just(json!(0.5)),
+        Just(json!(1e300)),
+        Just(json!(-1e300)),
+        Just(json!(u64::MAX)),
+        Just(json!(u32::MAX)),
+        Just(json!(u64::from(u32::MAX) + 1)),
+        Just(json!(i64::MIN)),
+        Just(json!("")),
+        Just(json!("é\n\0")),
+        Just(json!("x".repeat(70_000))),
+        Just(json!(true)),
+        Just(json!([])),
+        Just(json!({})),
+        Just(json!([null])),
+        Just(json!([[], {}])),
+        Just(json!({"": 1})),
+    ]
+}
+
+/// One value in another's place, or one taken away.
+#[derive(Clone, Debug)]
+enum Change {
+    Put(prop::sample::Index, Value),
+    Take(prop::sample::Index),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        4 => (any::<prop::sample::Index>(), odd()).prop_map(|(at, value)| Change::Put(at, value)),
+        1 => any::<prop::sample::Index>().prop_map(Change::Take),
+    ]
+}
+
+fn spoil(mut value: Value, changes: &[Change]) -> Value {
+    for change in changes {
+        let mut all = Vec::new();
+        places(&value, "", &mut all);
+        match change {
+            Change::Put(at, other) => {
+                if let Some(found) = value.pointer_mut(&all[at.index(all.len())]) {
+                    *found = other.clone();
+                }
+            }
+            Change::Take(at) => {
+                let path = &all[at.index(all.len())];
+                let Some((parent, key)) = path.rsplit_once('/') else { continue };
+                match value.pointer_mut(parent) {
+                    Some(Value::Object(fields)) => drop(fields.remove(key)),
+                    Some(Value::Array(list)) => drop(list.remove(key.parse().expect("a place"))),
+                    _ => {}
+                }
+            }
+        }
+    }
+    value
+}
+
+/// A file of its own in the temporary folder.
+struct File(PathBuf);
+
+impl File {
+    fn of(text: &[u8]) -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let path =
+            std::env::temp_dir().join(format!("mallowgauge-bad-input-{}-{number}", std::process::id()));
+        std::fs::write(&path, text).expect("a file in the temporary folder");
+        Self(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().expect("text")
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn load(platform: &[u8], operator: Option<&[u8]>) -> Result<Config, String> {
+    let (platform, operator) = (File::of(platform), operator.map(File::of));
+    let variable = |name: &str| (name == "RELAY_CONFIG").then(|| platform.path().to_owned());
+    Config::load(variable, operator.as_ref().map(File::path))
+}
+
+/// What the programs rest on.
+fn check(config: &Config) -> Result<(), TestCaseError> {
+    let (bounds, links) = (&config.bounds, &config.links);
+    prop_assert!(bounds.max_open > 0 && bounds.shards > 0 && links.streams > 0 && links.parts_a_call > 0);
+    prop_assert!(links.sockets >= 32 && links.sockets <= u32::MAX as usize);
+    let (settings, classes) = (&config.site.settings, &config.site.classes);
+    prop_assert!(settings.validate().is_ok());
+    prop_assert_eq!(settings.classes.len(), classes.len());
+    prop_assert!(settings.layout.cells > 0 && settings.layout.reach > 0 && settings.routers > 0);
+    prop_assert!(settings.classes.iter().all(|class| class.aim > 0 && class.aim <= class.deadline));
+    prop_assert!(hosts::parse(&config.known).is_ok());
+    Ok(())
+}
+
+/// What is wrong is one line, and not one that holds all of what was sent.
+fn check_words(words: &str) -> Result<(), TestCaseError> {
+    prop_assert!(!words.is_empty() && !words.contains(char::is_control), "{words:.300?}");
+    prop_assert!(words.len() <= 510, "{} bytes: {words:.300}", words.len());
+    Ok(())
+}
+
+#[test]
+fn what_is_spoilt_below_is_sound() {
+    assert_eq!(hosts::parse(&list()).expect("a list").hosts.len(), 3);
+    assert!(Site::read(&platform()["settings"]).is_ok());
+    let loaded = load(platform().to_string().as_bytes(), Some(operator().to_string().as_bytes()));
+    assert!(loaded.expect("a configuration").fleet.is_some());
+}
+
+// A list's words go into the log with a name that somebody else chose.
+#[test]
+fn a_name_that_is_quoted_stays_one_short_line() {
+    for name in ["x".repeat(100_000), "a\nb\u{1b}[2J".to_owned(), "\n".repeat(300), "ž".repeat(400)] {
+        let mut value = list();
+        value["instances"][0]["instanceId"] = json!(name);
+        value["instances"][0]["lifecycle"] = json!("odd");
+        let words = hosts::parse(&value).expect_err("no list");
+        assert!(!words.contains(char::is_control) && words.len() <= 510, "{words:.200?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(1500))]
+
+    #[test]
+    fn a_spoilt_list_is_read_or_refused(changes in prop::collection::vec(change(), 1..4)) {
+        let value = spoil(list(), &changes);
+        match hosts::parse(&value) {
+            Ok(read) => {
+                prop_assert_eq!(Some(read.generation), value["generation"].as_u64());
+                prop_assert_eq!(Some(read.reset), value["reset"].as_bool());
+                prop_assert_eq!(read.hosts.len(), value["instances"].as_array().expect("a list").len());
+                for host in &read.hosts {
+                    prop_assert!(host.phase == Phase::Gone || host.addr.is_some());
+                }
+            }
+            Err(words) => check_words(&words)?,
+        }
+    }
+
+    #[test]
+    fn spoilt_settings_are_read_or_refused(changes in prop::collection::vec(change(), 1..4)) {
+        let value = spoil(platform()["settings"].clone(), &changes);
+        match Site::read(&value) {
+            Ok(site) => prop_assert_eq!(site.classes.len(), site.settings.classes.len()),
+            Err(words) => check_words(&words)?,
+        }
+    }
+
+    #[test]
+    fn a_spoilt_configuration_is_read_or_refused(
+        changes in prop::collection::vec(change(), 0..3), others in prop::collection::vec(change(), 0..3),
+    ) {
+        let (platform, operator) = (spoil(platform(), &changes), spoil(operator(), &others));
+        match load(platform.to_string().as_bytes(), Some(operator.to_string().as_bytes())) {
+            Ok(config) => check(&config)?,
+            Err(words) => check_words(&words)?,
+        }
+    }
+
+    #[test]
+    fn a_cut_configuration_is_none(at in any::<prop::sample::Index>(), operators: bool) {
+        let (mut platform, mut operator) = (platform().to_string().into_bytes(), operator().to_string().into_bytes());
+        let cut = if operators { &mut operator } else { &mut platform };
+        cut.truncate(at.index(cut.len()));
+        let words = load(&platform, Some(&operator)).err().expect("no configuration");
+        check_words(&words)?;
+    }
+}
