Take over no hold of a gatherer that has said that it ends, until its links do

Cause: at a planned restart others took over the holds that a leaving gatherer was still waiting for, fenced it, and its clients were told 502 (a part may have run) whatever the host said a moment later.

At fault: crates/edge/src/peers/mod.rs, Peers::note: every state but "alive" went to the desk as away, "left" too; Desk::look then tries within some 60 ms.

Checked and ruled out: the promises held (run once, one outcome); drain itself answers all that it took; the links stay up until the process ends, so the record is written while it drains.

Change: one that has left is away to the desk where no link to it is up, and once its link ends (detach).

--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -364,7 +364,9 @@
                 if let Some(id) = id.filter(old) {
                     self.part(now, id, "a later life of it is known");
                 }
-                self.desk.iter_mut().for_each(|desk| desk.held(now, about, state != "alive"));
+                // Who has said that it ends goes on until it has ended what it took: it is away once its link is.
+                let away = state != "alive" && !(state == "left" && self.link(about).is_some());
+                self.desk.iter_mut().for_each(|desk| desk.held(now, about, away));
                 if state == "alive" {
                     self.dials.hint(now, about);
                 }
@@ -684,6 +686,9 @@
         *held = None;
         self.dials.ended(now, peer);
         self.members.unlinked(now, peer, broken);
+        if self.members.claim(peer).is_some_and(|claim| claim.state == State::Left) {
+            self.desk.iter_mut().for_each(|desk| desk.held(now, peer, true));
+        }
         Some(peer)
     }
 
