Cut a peer's hello at each byte, and signal a second time, with real processes

Change: crates/mallowgauge/tests/leaving.rs poses as the third gatherer of a list and ends or resets its connection after each byte of its hello: nobody is doubted, no link ends, and the whole hello is taken after that. The hold that is out at SIGTERM now meets a second SIGTERM as well. No fault found in either.

--- a/crates/mallowgauge/tests/leaving.rs
+++ b/crates/mallowgauge/tests/leaving.rs
@@ -1,10 +1,12 @@
-//! Three gatherers that take over each other's holds, with a host in the test's hands: what becomes of a hold that
-//! is out while its gatherer is told to end.
+//! Three gatherers that take over each other's holds, with a host, or one of them, in the test's hands: what becomes
+//! of a hold that is out while its gatherer is told to end, and of a peer that breaks off in its first words.
 
-use std::net::TcpListener;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
-use mallowgauge_testkit::hand::{accept_within, addr, listener, query, Wire};
+use mallowgauge_edge::peers::wire::{read, write, Said};
+use mallowgauge_testkit::hand::{accept, accept_within, addr, listener, query, Wire};
 use mallowgauge_testkit::{config, Program};
 use serde_json::{json, Value};
 
@@ -12,12 +14,23 @@
 
 /// Three gatherers of one list, over one host; clients of holds wait for 2 s at most.
 fn fleet(host: &TcpListener, discovery: &TcpListener) -> Vec<Program> {
-    let ports: Vec<TcpListener> = (0..3).map(|_| listener()).collect();
+    part_of_fleet(host, discovery, 3).0
+}
+
+/// The first so many of them, and where the first listens for peers and the others would.
+fn part_of_fleet(
+    host: &TcpListener,
+    discovery: &TcpListener,
+    running: usize,
+) -> (Vec<Program>, SocketAddr, Vec<TcpListener>) {
+    let mut ports: Vec<TcpListener> = (0..3).map(|_| listener()).collect();
     let name = |at: usize| format!("g{at}");
     let peer =
         |(at, port): (usize, &TcpListener)| json!({"name": name(at), "address": addr(port).to_string()});
     let list: Vec<Value> = ports.iter().enumerate().map(peer).collect();
     let listens: Vec<String> = ports.iter().map(|port| addr(port).to_string()).collect();
+    let first = addr(&ports[0]);
+    let others = ports.split_off(running);
     drop(ports);
     let start = |(at, listen): (usize, &String)| {
         let mut file = config(&[addr(host)], addr(discovery));
@@ -29,7 +42,7 @@
         let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": []}, "fleet": fleet});
         Program::start(&file, &operator, 1024)
     };
-    listens.iter().enumerate().map(start).collect()
+    (listens.iter().enumerate().take(running).map(start).collect(), first, others)
 }
 
 fn logged(program: &Program, text: &str) -> bool {
@@ -72,6 +85,8 @@
     for other in &programs[1..] {
         expect_log(other, "peer g0 is left");
     }
+    // A second signal changes nothing.
+    programs[0].signal(libc::SIGTERM);
     // Whoever would take it over has the time for that: two steps of 30 ms and a round.
     std::thread::sleep(Duration::from_millis(300));
     on_host.end(&parts[0], "good", "held");
@@ -99,3 +114,45 @@
     let (status, body) = again.response().expect("a final answer");
     assert_eq!(status, 502, "{body}");
 }
+
+// The third gatherer is the test: its hello is cut at each byte, by an end and by a reset.
+#[test]
+fn a_hello_that_is_cut_at_any_byte_is_no_sign_against_anybody() {
+    let (host, discovery) = (listener(), listener());
+    let (programs, first, others) = part_of_fleet(&host, &discovery, 2);
+    expect_log(&programs[0], "peer g1 is linked");
+    // What the first says to the third, which it dials, tells how a hello of this list reads.
+    let mut dialed = accept(&others[0]);
+    let mut said = Vec::new();
+    let hello = loop {
+        let mut byte = [0];
+        dialed.0.read_exact(&mut byte).expect("a hello");
+        said.push(byte[0]);
+        if let Some((Said::Hello(hello), _)) = read(&said, 64 * 1024).expect("a message") {
+            break hello;
+        }
+    };
+    drop(dialed);
+    let mut own = hello.clone();
+    (own.name, own.known, own.incarnation.nonce) = ("g2".to_owned(), None, hello.incarnation.nonce + 1);
+    let bytes = write(&Said::Hello(own));
+    for cut in 0..bytes.len() {
+        let mut ended = Wire::dial(first);
+        ended.send(&bytes[..cut]);
+        drop(ended);
+        let mut reset = Wire::dial(first);
+        reset.send(&bytes[..cut]);
+        reset.reset();
+    }
+    assert!(!logged(&programs[0], "peer g2 is linked"));
+    let mut whole = Wire::dial(first);
+    whole.send(&bytes);
+    expect_log(&programs[0], "peer g2 is linked");
+    for program in &programs {
+        for sign in
+            ["peer g0 is doubted", "peer g1 is doubted", "link to peer g0 ended", "link to peer g1 ended"]
+        {
+            assert!(!logged(program, sign), "{sign}");
+        }
+    }
+}
