Keep the machine's slowness out of the test of slow Flight readers

The test is about memory, and wrong in resting on how fast the machine is. Its classes now have an aim and a deadline of 60 s; what it asks of the answers, the peak and the memory's return is unchanged, and nothing may be refused for slowness any more.

--- a/crates/mallowgauge/tests/flight_hard.rs
+++ b/crates/mallowgauge/tests/flight_hard.rs
@@ -165,7 +165,13 @@
         0 => Act::Table((0..8).map(|_| numbers(256 << 10)).collect(), Dress::default()),
         _ => Act::Table(vec![listings(shard(ticket), 20)], Dress::default()),
     });
-    let cluster = Cluster::start(script, json!({}), |file| file["limits"]["memory_mb"] = json!(64));
+    let cluster = Cluster::start(script, json!({}), |file| {
+        file["limits"]["memory_mb"] = json!(64);
+        // What a slow machine does to an aim is no matter here: nothing is to be refused for that.
+        for class in file["settings"]["Classes"].as_array_mut().expect("classes") {
+            (class["AimUs"], class["DeadlineUs"]) = (json!(60_000_000), json!(60_000_000));
+        }
+    });
     let mut readers = Vec::new();
     for connection in 0..4 {
         // The windows stay shut: nothing of an answer is taken.
