--- a/crates/router/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -64,8 +64,8 @@
 
 /// First and longest back-off before asking for the list again after a failure; jitter adds up to as much. A
 /// call that fails and the next one's answer have to fit into the 6 s after which a change counts as told.
-const ASK_FIRST: Micros = 250 * MS;
-const ASK_LAST: Micros = 700 * MS;
+const BACK_OFF_FIRST: Micros = 250 * MS;
+const BACK_OFF_LAST: Micros = 700 * MS;
 const ROUNDING: f64 = 0.000_05; // Weights of parts may fall short of their sum by rounding
 
 /// What is looked at when its time has come.
@@ -199,7 +199,7 @@
     waiting: usize,          // Parts of earlier turns that were sent nowhere yet
     extra: VecDeque<Micros>,
     subscribed: bool,
-    ask_wait: Micros,
+    back_off: Micros,
     out: Vec<Action>,
 }
 
@@ -214,7 +214,7 @@
         let loads = settings.classes.iter().map(guess).collect();
         let cells = vec![Vec::new(); settings.layout.cells as usize];
         let rng = Some(fastrand::Rng::with_seed(seed));
-        Ok(Self { settings, rng, loads, cells, ask_wait: ASK_FIRST, ..Self::default() })
+        Ok(Self { settings, rng, loads, cells, back_off: BACK_OFF_FIRST, ..Self::default() })
     }
 
     // ---- events ----
@@ -293,8 +293,8 @@
         let (entries, whole, saved) = match news {
             ListNews::Failed => {
                 self.subscribed = false;
-                let wait = self.ask_wait + self.rng.as_mut().map_or(0, |rng| rng.u64(0..=self.ask_wait));
-                self.ask_wait = (self.ask_wait * 2).min(ASK_LAST);
+                let wait = self.back_off + self.rng.as_mut().map_or(0, |rng| rng.u64(0..=self.back_off));
+                self.back_off = (self.back_off * 2).min(BACK_OFF_LAST);
                 self.agenda.insert((self.now + wait, Task::Ask));
                 return;
             }
@@ -332,7 +332,7 @@
             self.agenda.insert((self.now, Task::Ask));
         } else {
             self.subscribed = true;
-            self.ask_wait = ASK_FIRST;
+            self.back_off = BACK_OFF_FIRST;
         }
     }
 
