--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -14,19 +14,19 @@
 // A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls in
 // between. So of any two calls in a row the first has to be given up, and the second answered, within that:
 //
-//     silent watch    WATCH_WAIT 2.5 + WATCH_GRACE 1.4 + back-off 1.0 + the answer to the next call   = 4.9 s + answer
+//     silent watch    WATCH_WAIT 2.2 + WATCH_GRACE 1.3 + back-off 1.4 + the answer to the next call   = 4.9 s + answer
 //     silent call     CALL_TIMEOUT 2.4                 + back-off 2.6 + the answer to the next call   = 5.0 s + answer
 //     silent dial     DIAL_TIMEOUT 1.0                 + back-off 2.6 + the answer to the next call   = 3.6 s + answer
 //
-// (back-off: the router's; 0.5 to 1 s after the first failure, up to 2.6 s later: half of that after the first fed the
+// (back-off: the router's; 0.7 to 1.4 s after the first failure, up to 2.6 s later: a third of that after the first fed the
 // overload of a discovery that a hundred restarted gatherers ask at once.) Discovery itself ends a call that has waited
-// 2 s for its turn. What it costs: 24 calls a minute and gatherer with nothing to tell, where a wait of 10 s made 6.
-// Not held: a watch that falls silent as the next call after a refusal, at the longest back-off, takes 6.5 s.
+// 2 s for its turn. What it costs: 27 calls a minute and gatherer with nothing to tell, where a wait of 10 s made 6.
+// Not held: a watch that falls silent as the next call after a refusal, at the longest back-off, takes 6.1 s.
 
 /// How long a watch may wait for a change.
-const WATCH_WAIT: Micros = 2_500_000;
+const WATCH_WAIT: Micros = 2_200_000;
 /// Silence after the end of that wait that means failure.
-const WATCH_GRACE: Micros = 1_400_000;
+const WATCH_GRACE: Micros = 1_300_000;
 /// A call that need not wait gets this long.
 const CALL_TIMEOUT: Micros = 2_400_000;
 /// A connection that is not up by then is given up.
--- a/crates/edge/tests/discovery_timing.rs
+++ b/crates/edge/tests/discovery_timing.rs
@@ -313,13 +313,13 @@
     let (mut world, mut wire, at) = World::watched(7);
     let (from, mut calls) = (world.now, 0);
     while world.now < from + 60_000_000 {
-        world.now += 2_500_000;
+        world.now += 2_200_000;
         wire.list(2, false, &[]);
         world.socket();
         wire.head();
         calls += 1;
     }
-    assert_eq!(calls, 24, "watches with nothing to tell");
+    assert_eq!(calls, 28, "watches with nothing to tell");
     drop((wire, at));
     world.socket();
     let (from, before) = (world.now, world.failures.len());
--- a/crates/router/src/rules.rs
+++ b/crates/router/src/rules.rs
@@ -64,7 +64,7 @@
 
 /// First and longest back-off before asking for the list again after a failure; jitter adds up to as much. A
 /// call that fails and the next one's answer have to fit into the 6 s after which a change counts as told.
-const BACK_OFF_FIRST: Micros = 500 * MS;
+const BACK_OFF_FIRST: Micros = 700 * MS;
 const BACK_OFF_LAST: Micros = 1_290 * MS;
 const ROUNDING: f64 = 0.000_05; // Weights of parts may fall short of their sum by rounding
 
