--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,11 +3,11 @@
 import os
 import signal
 import sys
-import tempfile
 import threading
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 
 import flight_standin as flight
 import platform_standin as platform
@@ -94,7 +94,7 @@
     record(f"runs by part: {runs.counts}")
     broken = any(count > 1 for count in runs.counts.values())
     record("BROKEN: a part of a place-hold ran more than once" if broken else "held: no part ran more than once")
-    return 1 if broken else 0
+    return broken
 
 
 class Restart(threading.Thread):
@@ -119,12 +119,4 @@
 
 
 if __name__ == "__main__":
-    record = platform.Record(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
-    record(f"trouble: {'a planned restart' if TROUBLE else 'none'}")
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            code = main(record, folder)
-        except (platform.CannotRun, OSError, EOFError) as error:
-            record(f"could not run: {type(error).__name__}: {error}")
-            code = 2
-    sys.exit(code)
+    platform.run_case(FOLDER, "a planned restart" if TROUBLE else None, main)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,11 +4,11 @@
 import random
 import signal
 import sys
-import tempfile
 import threading
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 
 import flight_standin as flight
 import platform_standin as platform
@@ -93,16 +93,8 @@
     record(f"queries: {len(clients)}, without a final answer: {['q%d' % number for number in unanswered]}")
     broken = crashed or bool(unanswered)
     record("BROKEN: the gatherer crashed or left queries unanswered" if broken else "held: every query had its answer")
-    return 1 if broken else 0
+    return broken
 
 
 if __name__ == "__main__":
-    record = platform.Record(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
-    record(f"trouble: {'one bad Flight client' if TROUBLE else 'none'}")
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            code = main(record, folder)
-        except (platform.CannotRun, OSError, EOFError) as error:
-            record(f"could not run: {type(error).__name__}: {error}")
-            code = 2
-    sys.exit(code)
+    platform.run_case(FOLDER, "one bad Flight client" if TROUBLE else None, main)
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -9,6 +9,8 @@
 import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import threading
 import time
 
@@ -34,6 +36,20 @@
     """The case could not be set up: exit code 2."""
 
 
+def run_case(folder, trouble, main):
+    """Runs `main(record, temporary_folder)`, which returns whether the rule was broken. `trouble` is the disruption, or
+    None. Ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run."""
+    record = Record(os.path.join(folder, "record.txt"))
+    record(f"trouble: {trouble or 'none'}")
+    with tempfile.TemporaryDirectory() as temporary:
+        try:
+            code = 1 if main(record, temporary) else 0
+        except Exception as error:  # whatever it is, it is no verdict on the rule
+            record(f"could not run: {type(error).__name__}: {error}")
+            code = 2
+    sys.exit(code)
+
+
 def free_ports(count):
     """Returns `count` loopback ports that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
