Name the issuer in poll descriptors, so that a poll elsewhere runs no hold again

Cause: the descriptor named the query's id but not the process that began it, and poll_flight_info took an id that this process does not know for one that was never executed. GetFlightInfo, DoPut and DoExchange took the same descriptor; and at its own process it held no time, so that a query forgotten ten minutes after its end began anew. Tickets were guarded, descriptors were not.

Ruled out: with a restart and no poll the hold runs once (trial), so neither the start nor the shutdown repeats it, nor does the core's retry.

Change: the descriptor to poll with holds poll_origin, the issuer and the query's time, which is what a ticket holds. check_issuer in origin.rs compares the issuer for tickets and descriptors alike, and the properties under which a query is submitted are built there only. That is enough because a process knows every non-idempotent query of its own, by record, tombstone or time; all others are rejected with OTHER_ISSUER. Idempotent queries begin anew as before.

--- a/crates/core/src/polled_queries/mod.rs
+++ b/crates/core/src/polled_queries/mod.rs
@@ -21,8 +21,8 @@
 //! known; an evicted non-idempotent query leaves a tombstone of a few bytes for the rest of its outcome's
 //! retention; a running query is never evicted. A query forgotten in either way is rejected instead of
 //! executed ([`RejectReason::Forgotten`]). If there is no capacity for tombstones either, new queries are
-//! rejected before they run. A ticket contains its creation time: one that is not newer than the newest query
-//! that was forgotten entirely is rejected as well.
+//! rejected before they run. A ticket contains its creation time, and a poll descriptor that of its query: one
+//! that is not newer than the newest query that was forgotten entirely is rejected as well.
 
 mod tombstones;
 
@@ -59,7 +59,7 @@
     pub non_idempotent: bool,
     /// Whether it is polled: it continues between calls, and its outcome is retained for the next call.
     pub polled: bool,
-    /// When its ticket was created; `None` if it was submitted without one.
+    /// When its ticket or the query of its poll descriptor was created; `None` if it was submitted without either.
     pub ticket_created_at: Option<Micros>,
 }
 
@@ -325,6 +325,12 @@
         }
     }
 
+    /// Returns when the ticket of a known query was created or, without a ticket, when it was submitted.
+    #[must_use]
+    pub fn created_at(&self, key: &PolledQueryKey) -> Option<Micros> {
+        self.queries.get(key).map(PolledQuery::created_at)
+    }
+
     /// Cancels a query for a client. `possibly_executed` returns whether a part of a run may have been
     /// executed.
     pub fn cancel(
--- a/crates/core/tests/polled_queries.rs
+++ b/crates/core/tests/polled_queries.rs
@@ -227,3 +227,35 @@
         Submission::Reject(RejectReason::Cancelled)
     );
 }
+
+// Guards against the second run of a query that is polled again after it was forgotten: the poll descriptor holds the
+// time that `created_at` returns.
+#[test]
+fn poll_descriptor_of_a_forgotten_query_does_not_run_it_again() {
+    let mut polled: PolledQueries<u64> = PolledQueries::new(LIMITS);
+    let spec = |ticket_created_at| PolledQuerySpec {
+        request_hash: 0,
+        non_idempotent: true,
+        polled: true,
+        ticket_created_at,
+    };
+    assert_eq!(polled.created_at(&key(1)), None);
+    for id in [1, 2] {
+        let run = RunId(id.into());
+        assert_eq!(polled.submit(1_000, &key(id), spec(None), None, run), Submission::Run(run));
+    }
+    // A query that was rejected without having been executed may run, and keeps its time.
+    polled.complete(1_100, RunId(2), 7, 1, true);
+    assert_eq!(polled.submit(1_200, &key(2), spec(Some(1_000)), None, RunId(3)), Submission::Run(RunId(3)));
+    assert_eq!(polled.created_at(&key(2)), Some(1_000));
+    // Later polls do not change the time.
+    assert_eq!(polled.submit(1_200, &key(1), spec(Some(1_000)), None, RunId(4)), Submission::Join(RunId(1)));
+    polled.complete(1_200, RunId(1), 7, 1, false);
+    assert_eq!(polled.created_at(&key(1)), Some(1_000));
+    let forgotten_at = 1_200 + RETENTION;
+    assert_eq!(
+        polled.submit(forgotten_at, &key(1), spec(Some(1_000)), None, RunId(5)),
+        Submission::Reject(RejectReason::Forgotten)
+    );
+    assert_eq!(polled.created_at(&key(1)), None);
+}
--- a/crates/edge/src/front/flight/batch_driver.rs
+++ b/crates/edge/src/front/flight/batch_driver.rs
@@ -5,9 +5,7 @@
 use std::rc::Rc;
 use std::task::Context;
 
-use mallowgauge_core::polled_queries::{
-    CancelResult, PolledQueryKey, PolledQuerySpec, RejectReason, RunId, WaiterId,
-};
+use mallowgauge_core::polled_queries::{CancelResult, PolledQueryKey, RejectReason, RunId, WaiterId};
 use mallowgauge_core::query_stream::{QueryStreamPhase, QueryStreamRejection};
 use mallowgauge_core::{Core, ResponseHandle};
 use mallowgauge_flight::grpc::{Code, Status};
@@ -152,13 +150,7 @@
         let request = command.request(self.remaining_time(now), self.head.options.timeout, core)?;
         let user = Rc::clone(&self.head.identity.user);
         let key = PolledQueryKey { user, id: command.id.as_str().into() };
-        let non_idempotent = !core.is_idempotent(command.class);
-        let spec = PolledQuerySpec {
-            request_hash: command.fingerprint(),
-            non_idempotent,
-            polled: false,
-            ticket_created_at: None,
-        };
+        let spec = service.polled_query_spec(command, command.origin, false, core)?;
         Ok(service.submit(now, core, call, tag, key, spec, request))
     }
 }
--- a/crates/edge/src/front/flight/command.rs
+++ b/crates/edge/src/front/flight/command.rs
@@ -9,6 +9,7 @@
 use mallowgauge_router::{ClassId, Micros};
 use serde_json::{json, Map, Value};
 
+use super::origin::Origin;
 use super::status::invalid_argument;
 use crate::front::query::{self, QueryMetadata};
 
@@ -16,6 +17,8 @@
 pub const UNUSED_ID: &str = "x";
 /// Maximum number of endpoints that a query is split into.
 const MAX_ENDPOINTS: usize = 16;
+/// The field of a poll descriptor's command that holds the origin of the query.
+const ORIGIN_FIELD: &str = "poll_origin";
 
 /// A valid command.
 #[derive(Clone, Debug)]
@@ -25,6 +28,8 @@
     pub id: String,
     /// The class of the query.
     pub class: ClassId,
+    /// The origin of the query if the command comes from a poll descriptor.
+    pub origin: Option<Origin>,
 }
 
 impl Command {
@@ -72,14 +77,22 @@
                 *range = json!({"range": range.as_u64(), "portion": portion});
             }
         }
-        Ok(Self { fields, id, class })
+        let origin = fields.remove(ORIGIN_FIELD).as_ref().map(Origin::from_json).transpose()?;
+        Ok(Self { fields, id, class, origin })
     }
 
-    /// Returns the command's text, including its id.
+    /// Returns the command's text, including its id and without its origin.
     pub fn text(&self) -> Bytes {
         Value::Object(self.fields.clone()).to_string().into()
     }
 
+    /// Returns the descriptor with which a client polls the query, once it was submitted.
+    pub fn poll_descriptor(&self, origin: Origin) -> FlightDescriptor {
+        let mut fields = self.fields.clone();
+        fields.insert(ORIGIN_FIELD.to_owned(), origin.to_json());
+        FlightDescriptor::command(Value::Object(fields).to_string().into())
+    }
+
     /// Returns a hash of the query without its id, retry mark, deadline, tag and endpoints.
     pub fn fingerprint(&self) -> u64 {
         let mut fields = self.fields.clone();
@@ -158,7 +171,7 @@
             fields.remove("endpoints");
             fields.insert("id".to_owned(), json!(id));
             fields.insert("ranges".to_owned(), Value::Array(scaled));
-            commands.push(Command { fields, id, class: self.class });
+            commands.push(Command { fields, id, class: self.class, origin: self.origin });
         }
         Ok(commands)
     }
--- a/crates/edge/src/front/flight/methods/get.rs
+++ b/crates/edge/src/front/flight/methods/get.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use mallowgauge_core::polled_queries::{PolledQueryKey, PolledQuerySpec, PolledState, RejectReason};
+use mallowgauge_core::polled_queries::{PolledQueryKey, PolledState, RejectReason};
 use mallowgauge_core::{Core, QueryResponse};
 use mallowgauge_flight::grpc::{Code, Status};
 use mallowgauge_flight::proto::Ticket;
@@ -12,6 +12,7 @@
 use super::decode;
 use crate::front::flight::call::{Call, CallState, OutcomeUse, PendingOutcome};
 use crate::front::flight::command::{Command, UNUSED_ID};
+use crate::front::flight::origin::{Origin, OtherIssuer, OTHER_ISSUER};
 use crate::front::flight::service::FlightService;
 use crate::front::flight::status::{invalid_argument, rejection_status};
 use crate::front::flight::submission::SubmitResult;
@@ -35,6 +36,12 @@
             .map_err(|_| invalid_argument("a bad ticket"))?;
         let key =
             PolledQueryKey { user: Rc::clone(&self.head.identity.user), id: command.id.as_str().into() };
+        let origin = Some(Origin::of_ticket(&ticket));
+        let spec =
+            service.polled_query_spec(&command, origin, ticket.polled, core).map_err(|OtherIssuer| {
+                let reason = "a ticket with an effect counts only where it was made; ask for a new one";
+                Status::new(Code::FailedPrecondition, reason).with_reason(OTHER_ISSUER)
+            })?;
         if ticket.polled {
             if let Some(response) = polled_outcome(now, &key, service)? {
                 let response = self.checked_response(&response)?;
@@ -42,17 +49,7 @@
                 return Ok(());
             }
         }
-        if !core.is_idempotent(command.class) && !ticket.polled && ticket.issuer != service.issuer {
-            let reason = "a ticket with an effect counts only where it was made; ask for a new one";
-            return Err(Status::new(Code::FailedPrecondition, reason).with_reason("OTHER_ISSUER"));
-        }
         let request = command.request(self.remaining_time(now), self.head.options.timeout, core)?;
-        let spec = PolledQuerySpec {
-            request_hash: command.fingerprint(),
-            non_idempotent: !core.is_idempotent(command.class),
-            polled: ticket.polled,
-            ticket_created_at: Some(ticket.issued_at),
-        };
         match service.submit(now, core, id, "", key, spec, request) {
             SubmitResult::Pending(waiter) => {
                 self.state = CallState::WaitingForOutcome(PendingOutcome {
--- a/crates/edge/src/front/flight/methods/info.rs
+++ b/crates/edge/src/front/flight/methods/info.rs
@@ -32,7 +32,8 @@
     /// `GetFlightInfo`: sends the endpoints and the schema of a query.
     ///
     /// # Errors
-    /// The query is invalid: it is rejected here, and not only when its ticket is used.
+    /// The query is invalid, or may have been executed by another process: it is rejected here, and not only when its
+    /// ticket is used.
     pub fn get_flight_info(
         &mut self,
         now: Micros,
@@ -129,11 +130,13 @@
         identity: &Identity,
         core: &Core,
     ) -> Result<FlightInfo, Status> {
+        self.check_issuer(command, command.origin, core)?;
         let commands = command.split(core)?;
+        let created_at = command.origin.map_or(now, |origin| origin.created_at);
         commands.iter().try_for_each(|command| command.request(Some(1), None, core).map(|_| ()))?;
         let endpoint: Vec<FlightEndpoint> = commands
             .iter()
-            .map(|command| self.issue_endpoint(now, command, &identity.user, now, false))
+            .map(|command| self.issue_endpoint(now, command, &identity.user, created_at, false))
             .collect();
         Ok(FlightInfo {
             schema: self.schema(command.class).unwrap_or_default(),
--- a/crates/edge/src/front/flight/methods/poll.rs
+++ b/crates/edge/src/front/flight/methods/poll.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use mallowgauge_core::polled_queries::{PolledQueryKey, PolledQuerySpec, PolledState, RejectReason};
+use mallowgauge_core::polled_queries::{PolledQueryKey, PolledState, RejectReason};
 use mallowgauge_core::{Core, QueryResponse, ResponseHandle, Value};
 use mallowgauge_flight::answer;
 use mallowgauge_flight::grpc::{Code, Status};
-use mallowgauge_flight::proto::{FlightDescriptor, FlightInfo, PollInfo};
+use mallowgauge_flight::proto::{FlightInfo, PollInfo};
 use mallowgauge_router::Micros;
 use serde_json::json;
 
@@ -15,6 +15,7 @@
 use super::info::{schema_of_values, UNKNOWN_TOTAL};
 use crate::front::flight::call::{Call, CallState, OutcomeUse, PendingOutcome};
 use crate::front::flight::command::Command;
+use crate::front::flight::origin::Origin;
 use crate::front::flight::service::FlightService;
 use crate::front::flight::status::{failure_status, rejection_status};
 use crate::front::flight::submission::SubmitResult;
@@ -25,10 +26,11 @@
 const POLL_WAIT: Micros = 1_000_000;
 
 impl Call {
-    /// `PollFlightInfo`: submits a polled query, or waits a limited time for the outcome of a running one.
+    /// `PollFlightInfo`: submits a polled query, or waits a limited time for the outcome of a running one. A descriptor
+    /// that another process issued starts an idempotent query again, and never a non-idempotent one.
     ///
     /// # Errors
-    /// The query is invalid, or its outcome is a rejection or failure.
+    /// The query is invalid, may have been executed by another process, or its outcome is a rejection or failure.
     pub fn poll_flight_info(
         &mut self,
         now: Micros,
@@ -39,19 +41,13 @@
     ) -> Result<(), Status> {
         let descriptor = decode_descriptor(message)?;
         let command = Command::from_descriptor(&descriptor, core, &service.generate_query_id())?;
+        let spec = service.polled_query_spec(&command, command.origin, true, core)?;
         let key =
             PolledQueryKey { user: Rc::clone(&self.head.identity.user), id: command.id.as_str().into() };
         let is_first = service.polled_queries.state(now, &key).is_none();
         // The query continues between calls, so the deadline of the command, the session or the class applies, and not
         // that of the call.
         let request = command.request(None, self.head.options.timeout, core)?;
-        let non_idempotent = !core.is_idempotent(command.class);
-        let spec = PolledQuerySpec {
-            request_hash: command.fingerprint(),
-            non_idempotent,
-            polled: true,
-            ticket_created_at: None,
-        };
         match service.submit(now, core, id, "", key.clone(), spec, request) {
             SubmitResult::Pending(waiter) if is_first => {
                 // The first call is answered at once, so that the client learns the descriptor to poll with.
@@ -100,8 +96,7 @@
         service: &mut FlightService,
         core: &Core,
     ) {
-        let state = service.polled_queries.state(now, key);
-        match service.poll_info(now, &key.user, state, command, core) {
+        match service.poll_info(now, key, command, core) {
             Ok(info) => self.reply(now, &info),
             Err(status) => self.finish_with_error(now, &status),
         }
@@ -110,15 +105,17 @@
 
 impl FlightService {
     /// Returns the state of a polled query: running with its progress, or complete with an endpoint for its outcome.
+    /// The descriptor to poll with names this process and when the query was created.
     fn poll_info(
         &mut self,
         now: Micros,
-        user: &str,
-        state: Option<PolledState<Rc<QueryResponse>>>,
+        key: &PolledQueryKey,
         command: &Command,
         core: &Core,
     ) -> Result<PollInfo, Status> {
-        let next = FlightDescriptor::command(command.text());
+        let state = self.polled_queries.state(now, key);
+        let created_at = self.polled_queries.created_at(key).unwrap_or(now);
+        let next = command.poll_descriptor(Origin { issuer: self.issuer, created_at });
         let mut info = FlightInfo {
             schema: self.schema(command.class).unwrap_or_default(),
             flight_descriptor: Some(next.clone()),
@@ -142,7 +139,7 @@
                     return Err(status);
                 }
                 describe_response(&mut info, &response);
-                info.endpoint = vec![self.issue_endpoint(now, command, user, now, true)];
+                info.endpoint = vec![self.issue_endpoint(now, command, &key.user, created_at, true)];
                 Ok(PollInfo {
                     info: Some(info),
                     flight_descriptor: None,
--- a/crates/edge/src/front/flight/mod.rs
+++ b/crates/edge/src/front/flight/mod.rs
@@ -8,6 +8,7 @@
 //! | `batch_stream`, `batch_driver` | `DoPut` and `DoExchange`: many queries on one stream |
 //! | `submission`, `response`, `status` | submitting queries to the core; encoding outcomes as tables, metadata or statuses |
 //! | `auth`, `tickets`, `command` | authentication; signed tickets; parsing of queries |
+//! | `origin` | which process issued a ticket or poll descriptor |
 //! | `service` | the state that all calls share |
 //!
 //! Decisions are taken in `mallowgauge_core`: admission of connections and calls (`stream_admission`), the state of
@@ -23,6 +24,7 @@
 mod connection;
 mod method;
 mod methods;
+mod origin;
 mod response;
 mod service;
 mod status;
--- a/crates/mallowgauge/tests/flight.rs
+++ b/crates/mallowgauge/tests/flight.rs
@@ -1,6 +1,8 @@
 //! Conformance of the Flight frontend, tested with the independent client of the `arrow-flight` crate.
 //! The catalogue in `docs/flight-conformance.md` names these tests.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -13,6 +15,7 @@
 };
 use arrow_ipc::CompressionType;
 use bytes::Bytes;
+use common::{base64, status, FailedCall};
 use futures::{StreamExt, TryStreamExt};
 use mallowgauge_flight::proto::{self, OptionValue, SessionOptionValue, SessionOptions};
 use mallowgauge_flight::seal;
@@ -59,40 +62,6 @@
     info.endpoint[0].ticket.clone().expect("a ticket")
 }
 
-/// Status code, reason, and retry delay in milliseconds of a failed call.
-type FailedCall = (Code, Option<String>, Option<u64>);
-
-/// Reads the status code and the status details of a failed call.
-fn status(error: FlightError) -> FailedCall {
-    match error {
-        FlightError::Tonic(status) => {
-            let mut map = http::HeaderMap::new();
-            if let Some(details) = status.metadata().get_bin("grpc-status-details-bin") {
-                let text = std::str::from_utf8(details.as_encoded_bytes()).expect("base64");
-                map.insert("grpc-status-details-bin", text.parse().expect("a value"));
-            } else if !status.details().is_empty() {
-                let text = base64(status.details());
-                map.insert("grpc-status-details-bin", text.parse().expect("a value"));
-            }
-            let (reason, wait) = mallowgauge_flight::grpc::error_details(&map);
-            (status.code(), reason, wait.map(|wait| wait / 1000))
-        }
-        other => panic!("not a gRPC status: {other}"),
-    }
-}
-
-fn base64(bytes: &[u8]) -> String {
-    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    let mut out = String::new();
-    for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0_u32, |sum, b| sum << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
-        for digit in 0..=chunk.len() {
-            out.push(char::from(DIGITS[(word >> (18 - 6 * digit)) as usize & 63]));
-        }
-    }
-    out
-}
-
 /// Redeems a ticket. Returns its batches and the metadata of the last message.
 async fn get(client: &mut FlightClient, ticket: Ticket) -> Result<(Vec<RecordBatch>, Value), FailedCall> {
     let mut request = tonic::Request::new(ticket);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -61,6 +61,8 @@
 
 /// Upper limit for any single step on a slow machine. Only a failing test reaches it.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Limit of descriptors of a deployment's programs.
+const DESCRIPTORS: u32 = 1024;
 /// Number of stand-in backends.
 pub const BACKENDS: usize = 3;
 
@@ -241,6 +243,10 @@
     pub attempts: columns::AttemptCounts,
     pub discovery: stand_ins::DiscoveryStandIn,
     pub backends: Vec<SocketAddr>,
+    /// The platform's configuration file.
+    config: Value,
+    /// The operator's file.
+    operator: Value,
 }
 
 impl Deployment {
@@ -279,8 +285,22 @@
         let mut file = config(&backends, discovery.addr);
         file["settings"]["Limits"]["MaxOpen"] = json!(400);
         change(&mut file);
-        let program = Program::start(&file, &json!({"flight": flight, "phases": phases}), 1024);
-        Self { program, attempts, discovery, backends }
+        let operator = json!({"flight": flight, "phases": phases});
+        let program = Program::start(&file, &operator, DESCRIPTORS);
+        Self { program, attempts, discovery, backends, config: file, operator }
+    }
+
+    /// Starts another instance with the same files, on ports of its own.
+    pub fn start_instance(&self) -> Program {
+        Program::start(&self.config, &self.operator, DESCRIPTORS)
+    }
+
+    /// Restarts the program as planned: SIGTERM, and a new start with the same files once it has ended.
+    pub fn restart(&mut self) {
+        self.program.signal(libc::SIGTERM);
+        let status = self.program.child.wait().expect("an exit status");
+        assert!(status.success(), "{status}");
+        self.program = self.start_instance();
     }
 
     /// As [`Deployment::start`], with two-phase queries.
