Move the validation of record batches to a module of its own

ipc.rs held the collecting of a stream's messages, the validation of each batch and the rewriting of headers, 568 lines. The validation is about to check more.

--- a/crates/flight/src/lib.rs
+++ b/crates/flight/src/lib.rs
@@ -2,6 +2,7 @@
 //! messages, undecoded record batches, and signed tickets and tokens.
 
 pub mod answer;
+mod batch_validator;
 pub mod grpc;
 pub mod ipc;
 pub mod proto;
