Limit what a table states, and the text it becomes, before memory is spent on it

Cause: limits counted bytes that arrived and bytes that compressed columns state. Values without bytes (nulls, empty structs, fixed-size lists, runs), values that rows share, and kept dictionaries, whose count began anew with each message, were not bounded, and rows::to_json wrote the whole text before anybody looked at it. with_shard_column and part result tables shared the cause.

Ruled out by reading: decompression beyond the stated size.

Change: the collector limits values without bytes and all decompressed bytes, kept dictionaries included, and the rows of a batch; json_size measures an upper bound on the text and stops at the limit; part results have one row before they are decoded. That is enough because whatever a few bytes can stand for is counted before it is decoded or written. A client over HTTP gets the 502 of exhausted table memory; at most text_bytes_per_query, the share of one query's tables.

--- a/crates/core/src/stream_admission/limits.rs
+++ b/crates/core/src/stream_admission/limits.rs
@@ -58,6 +58,8 @@
     pub table_bytes: usize,
     /// Bytes of tables of one query.
     pub table_bytes_per_query: usize,
+    /// Bytes of text that the tables of one query may become for a client over HTTP.
+    pub text_bytes_per_query: usize,
     /// Initial window of a backend's stream, in bytes.
     pub backend_window: u32,
     /// Polled queries that are kept.
@@ -85,6 +87,7 @@
         let connections = (descriptors / 8).min(memory / 4 / connection).max(1);
         let tables = memory / 2;
         let retained = memory / 8;
+        let tables_per_query = (tables / 2).max(MIN_TABLES_PER_QUERY_BYTES);
         Self {
             connections,
             streams: MAX_STREAMS,
@@ -94,7 +97,8 @@
             send_buffer,
             connection_bytes: connection,
             table_bytes: tables,
-            table_bytes_per_query: (tables / 2).max(MIN_TABLES_PER_QUERY_BYTES),
+            table_bytes_per_query: tables_per_query,
+            text_bytes_per_query: tables_per_query,
             backend_window: clamp(memory / 8 / streams.max(1), BACKEND_WINDOW_BYTES) as u32,
             polled_queries: clamp(retained / 2 / POLLED_QUERY_BYTES, POLLED_QUERIES),
             outcome_bytes: retained / 2,
--- a/crates/edge/src/front/flight/batch_stream.rs
+++ b/crates/edge/src/front/flight/batch_stream.rs
@@ -10,7 +10,7 @@
 use mallowgauge_core::stream_admission::StreamLimits;
 use mallowgauge_core::Message;
 use mallowgauge_flight::grpc::Status;
-use mallowgauge_flight::ipc::Collector;
+use mallowgauge_flight::ipc::{Collector, CollectorLimits};
 use mallowgauge_flight::proto::FlightData;
 use mallowgauge_flight::rows;
 use prost::Message as _;
@@ -20,8 +20,8 @@
 
 /// No more queries are read while more bytes of responses than this wait to be sent.
 const RESPONSE_BACKLOG_BYTES: usize = 256 * 1024;
-/// Maximum size of a client's columns after decompression, in bytes.
-const MAX_DECOMPRESSED_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of a client's columns after they are decoded, and of the JSON text of one batch, in bytes.
+const MAX_DECODED_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum size of a client's dictionaries, in bytes.
 const MAX_DICTIONARY_BYTES: usize = 512 * 1024;
 /// Maximum number of rows of one record batch of queries.
@@ -81,7 +81,10 @@
             final_status: None,
             defaults: Map::new(),
             started: false,
-            columns: Collector::new(MAX_DECOMPRESSED_BYTES),
+            columns: Collector::new(CollectorLimits {
+                decoded_bytes: MAX_DECODED_BYTES,
+                shard_column_bytes: usize::MAX,
+            }),
             received_schema: Bytes::new(),
             next_row: 0,
         }
@@ -195,6 +198,6 @@
 }
 
 fn parse_rows(schema: &Bytes, messages: &[Message]) -> Result<Vec<Map<String, Value>>, String> {
-    let text = rows::to_json(schema, messages)?;
+    let text = rows::to_json(schema, messages, MAX_DECODED_BYTES).map_err(|error| error.to_string())?;
     serde_json::from_str(&text).map_err(|e| e.to_string())
 }
--- a/crates/edge/src/front/http.rs
+++ b/crates/edge/src/front/http.rs
@@ -43,6 +43,8 @@
     connections: BTreeMap<u64, Connection>,
     next_id: u64,
     max_connections: usize,
+    /// Bytes of text that the tables of one query may become.
+    text_bytes_per_query: usize,
     /// The lifecycle phase of the process.
     phase: Phase,
     /// Connections whose sockets may have more input.
@@ -52,10 +54,12 @@
 }
 
 impl HttpFrontend {
-    /// Creates a frontend for at most `max_connections` connections.
+    /// Creates a frontend for at most `max_connections` connections, which makes at most `text_bytes_per_query` bytes of
+    /// text from the tables of one query.
     #[must_use]
-    pub fn new(max_connections: usize) -> Self {
+    pub fn new(max_connections: usize, text_bytes_per_query: usize) -> Self {
         Self {
+            text_bytes_per_query,
             connections: BTreeMap::new(),
             next_id: 1,
             max_connections,
@@ -172,7 +176,7 @@
     /// Sends the core's response to a client's query.
     pub fn respond(&mut self, now: Micros, id: u64, response: &QueryResponse, core: &mut Core) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        connection.respond(now, response, self.phase);
+        connection.respond(now, response, self.text_bytes_per_query, self.phase);
         // Pipelined input is read now: the socket reports no further readiness for bytes that have already arrived.
         self.handle_ready(now, id, core);
     }
--- a/crates/edge/src/front/http/connection.rs
+++ b/crates/edge/src/front/http/connection.rs
@@ -263,10 +263,10 @@
         }
     }
 
-    /// Queues the core's response to the query.
-    pub(super) fn respond(&mut self, now: Micros, response: &QueryResponse, phase: Phase) {
+    /// Queues the core's response to the query, with at most `max_text` bytes of text made from tables.
+    pub(super) fn respond(&mut self, now: Micros, response: &QueryResponse, max_text: usize, phase: Phase) {
         if matches!(self.state, State::AwaitingResponse) {
-            self.reply(now, &render(response), phase);
+            self.reply(now, &render(response, max_text), phase);
         }
     }
 
--- a/crates/edge/src/front/http/routes.rs
+++ b/crates/edge/src/front/http/routes.rs
@@ -1,7 +1,9 @@
 //! Routes requests to the health check or to the core, and renders final responses as HTTP.
 
-use mallowgauge_core::{Core, Failure, QueryRequest, QueryResponse, ResponseHandle};
-use mallowgauge_router::Micros;
+use mallowgauge_core::{self as core, Core, Failure, QueryRequest, QueryResponse, ResponseHandle};
+use mallowgauge_flight::json_size::MeasureError;
+use mallowgauge_flight::rows::JsonError;
+use mallowgauge_router::{Micros, ShardId};
 use serde_json::{json, Value};
 
 use crate::front::http1::RequestHead;
@@ -12,6 +14,8 @@
 pub(super) const HEALTH_PATH: &str = "/healthz";
 /// Path that queries are posted to.
 const QUERY_PATH: &str = "/api";
+/// Bytes of text made from tables in a response that is known at submission: a rejection or an invalid query.
+const NO_TABLE_TEXT: usize = 0;
 
 /// An HTTP response before it is encoded.
 pub(super) struct Reply {
@@ -68,7 +72,8 @@
             require_method(head, "POST")?;
             let request = read_query(head, body, core);
             let request = request.map_err(|error| Reply::error(400, &error.to_string()))?;
-            core.submit(now, ResponseHandle::Http(connection), request).map_err(|response| render(&response))
+            core.submit(now, ResponseHandle::Http(connection), request)
+                .map_err(|response| render(&response, NO_TABLE_TEXT))
         }
         _ => Err(Reply::error(404, "there is nothing here")),
     }
@@ -102,16 +107,10 @@
     Ok(query::parse(metadata, &body)?)
 }
 
-/// Renders a final response as HTTP.
-pub(super) fn render(response: &QueryResponse) -> Reply {
+/// Renders a final response as HTTP, with at most `max_text` bytes of text made from tables.
+pub(super) fn render(response: &QueryResponse, max_text: usize) -> Reply {
     match response {
-        QueryResponse::Completed { complete, values } => match query::write_values(*complete, values) {
-            Ok(body) => Reply::new(200, body.to_string()),
-            Err(error) => {
-                tracing::warn!("response could not be encoded: {error}");
-                Reply::error(500, "the answer could not be written")
-            }
-        },
+        QueryResponse::Completed { complete, values } => render_values(*complete, values, max_text),
         QueryResponse::Ranked(ranked) => Reply::new(200, query::write_ranked(ranked).to_string()),
         QueryResponse::Rejected { retry_after, .. } => {
             let seconds = *retry_after as f64 / 1e6;
@@ -120,7 +119,23 @@
         }
         QueryResponse::Failed(Failure::Invalid(reason)) => Reply::error(400, reason.message()),
         QueryResponse::Failed(Failure::PartsFailed) => Reply::error(502, "parts could not be had"),
-        QueryResponse::Failed(Failure::MemoryExhausted) => Reply::error(502, "the tables found no room"),
+        QueryResponse::Failed(Failure::MemoryExhausted) => no_room(),
         QueryResponse::Failed(Failure::DeadlineExceeded) => Reply::error(504, "time ran out"),
     }
 }
+
+fn render_values(complete: bool, values: &[(ShardId, core::Value)], max_text: usize) -> Reply {
+    let error = match query::write_values(complete, values, max_text) {
+        Ok(body) => return Reply::new(200, body.to_string()),
+        Err(error) => error,
+    };
+    tracing::warn!("response could not be encoded: {error}");
+    match error {
+        JsonError::Measure(MeasureError::TooLong) => no_room(),
+        _ => Reply::error(500, "the answer could not be written"),
+    }
+}
+
+fn no_room() -> Reply {
+    Reply::error(502, "the tables found no room")
+}
--- a/crates/edge/src/front/query.rs
+++ b/crates/edge/src/front/query.rs
@@ -7,7 +7,7 @@
 use mallowgauge_core as core;
 use mallowgauge_core::two_phase::{BlockSelection, MissingSketchPolicy, PlanSpec, Ranked, Row};
 use mallowgauge_core::{PartRequest, PlanRequest, QueryRequest};
-use mallowgauge_flight::rows;
+use mallowgauge_flight::rows::{self, JsonError};
 use mallowgauge_router::{ClassId, Micros, ShardId};
 
 /// The fields of a query outside its body: HTTP headers, or fields of a Flight command.
@@ -171,18 +171,28 @@
     body
 }
 
-/// Returns the response body of a query. A table from a backend becomes a JSON text: the list of its rows.
+/// Returns the response body of a query. A table from a backend becomes a JSON text: the list of its rows. The texts of
+/// all tables have at most `max_text` bytes.
 ///
 /// # Errors
-/// A table cannot be converted to JSON.
-pub fn write_values(complete: bool, values: &[(ShardId, core::Value)]) -> Result<Value, String> {
-    let text = |(shard, value): &(ShardId, core::Value)| {
+/// A table cannot be converted to JSON, or the texts may be longer.
+pub fn write_values(
+    complete: bool,
+    values: &[(ShardId, core::Value)],
+    max_text: usize,
+) -> Result<Value, JsonError> {
+    let mut remaining = max_text;
+    let mut answers = Vec::with_capacity(values.len());
+    for (shard, value) in values {
         let blob = match value {
             core::Value::Text(text) => Value::from(&**text),
-            core::Value::Table(table) => Value::from(rows::to_json(&table.schema, &table.messages)?),
+            core::Value::Table(table) => {
+                let text = rows::to_json(&table.schema, &table.messages, remaining)?;
+                remaining = remaining.saturating_sub(text.len());
+                Value::from(text)
+            }
         };
-        Ok(json!({"range": shard.0, "blob": blob}))
-    };
-    let answers: Vec<Value> = values.iter().map(text).collect::<Result<_, String>>()?;
+        answers.push(json!({"range": shard.0, "blob": blob}));
+    }
     Ok(json!({"total": complete, "answers": answers}))
 }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -92,6 +92,8 @@
     backends: BackendRegistry,
     /// The endpoint list from startup, until it or a list from discovery is applied.
     cached_snapshot: Option<CachedSnapshot>,
+    /// Bytes of text that the tables of one query may become.
+    text_bytes_per_query: usize,
     /// Zone names by zone index.
     zones: Vec<String>,
     /// Connections to the other instances; `None` if no peers are configured.
@@ -155,7 +157,7 @@
             lifecycle: Lifecycle::new(longest_deadline.unwrap_or_default()),
             core,
             listeners,
-            http: http::HttpFrontend::new(limits.connections.clients),
+            http: http::HttpFrontend::new(limits.connections.clients, limits.flight.text_bytes_per_query),
             flight: flight::FlightFrontend::new(&setup)?,
             pool: ConnectionPool::new(
                 config.connections,
@@ -166,6 +168,7 @@
             discovery: Discovery::new(config.discovery, cached.generation, pushed),
             backends: BackendRegistry::default(),
             cached_snapshot: None,
+            text_bytes_per_query: limits.flight.text_bytes_per_query,
             zones,
             peers,
             takeover: TakeoverAdapter::default(),
--- a/crates/edge/src/server/dispatch.rs
+++ b/crates/edge/src/server/dispatch.rs
@@ -158,7 +158,7 @@
     fn attempt_succeeded(&mut self, now: Micros, attempt: AttemptId, value: Value) {
         if let (true, Value::Table(table)) = (self.core.is_planned(attempt), &value) {
             // Two-phase queries rank rows as JSON text, whichever format the rows arrived in.
-            return match rows::to_json(&table.schema, &table.messages) {
+            return match rows::to_json(&table.schema, &table.messages, self.text_bytes_per_query) {
                 Ok(text) => {
                     self.core.attempt_completed(now, attempt, Outcome::Succeeded, Some(text.into()));
                 }
--- a/crates/edge/src/upstream/flight_stream.rs
+++ b/crates/edge/src/upstream/flight_stream.rs
@@ -14,7 +14,7 @@
 use mallowgauge_core::table_memory::{StreamId, TableMemory, TableQueryId, WindowGrant};
 use mallowgauge_core::{AttemptId, AttemptRequest, Table, Value};
 use mallowgauge_flight::grpc::{self, Code, Deframer, Encoding};
-use mallowgauge_flight::ipc::Collector;
+use mallowgauge_flight::ipc::{Collector, CollectorLimits};
 use mallowgauge_flight::proto::{FlightData, Ticket};
 use mallowgauge_flight::rows;
 use mallowgauge_router::{BackendId, Micros, Outcome, ShardId};
@@ -24,8 +24,8 @@
 use super::flight_connection::FlightOptions;
 use super::{UpstreamEvent, MESSAGE_TIMEOUT};
 
-/// Compressed columns may decompress to this many times the size limit of a table.
-const DECOMPRESSED_SIZE_MULTIPLE: usize = 4;
+/// A table may be decoded to this many times the size limit of a table.
+const DECODED_SIZE_MULTIPLE: usize = 4;
 
 /// Identifies the call that a part belongs to. Tickets carry it, so that a backend can do the work that the parts of a
 /// call share only once.
@@ -128,7 +128,10 @@
         request.send_data(grpc::frame(&ticket(attempt, call)).into(), true)?;
         let id = next_stream_id();
         options.table_memory.open(id, attempt.table_query);
-        let max_decompressed = options.max_table_bytes.saturating_mul(DECOMPRESSED_SIZE_MULTIPLE);
+        let limits = CollectorLimits {
+            decoded_bytes: options.max_table_bytes.saturating_mul(DECODED_SIZE_MULTIPLE),
+            shard_column_bytes: options.max_table_bytes,
+        };
         Ok(Self {
             id,
             attempt: attempt.attempt,
@@ -141,7 +144,7 @@
             response: Some(response),
             body: None,
             deframer: Deframer::new(options.max_table_bytes),
-            collector: Some(Collector::new(max_decompressed)),
+            collector: Some(Collector::new(limits)),
             stage: StreamStage::Sent,
             initial_window: options.initial_window as usize,
             unreleased_bytes: 0,
@@ -330,6 +333,9 @@
         let is_part_result = collector.schema().is_some_and(rows::is_part_result_table);
         let table = collector.finish().ok_or(ResponseError::NoTable)?;
         if is_part_result {
+            if table.rows != 1 {
+                return Err(ResponseError::NotOneRow);
+            }
             let rows =
                 rows::read_part_results(&table.schema, &table.messages).map_err(ResponseError::Message)?;
             let [row] = rows.as_slice() else { return Err(ResponseError::NotOneRow) };
--- a/crates/edge/tests/parts.rs
+++ b/crates/edge/tests/parts.rs
@@ -223,6 +223,10 @@
     ");
 }
 
+/// Limits of the tables in the tests, with room for any valid sample.
+const COLLECTOR_LIMITS: ipc::CollectorLimits =
+    ipc::CollectorLimits { decoded_bytes: 1 << 20, shard_column_bytes: 1 << 20 };
+
 // Guards the process against hostile input: no mutated bytes make a parser panic or loop forever.
 #[test]
 fn mutated_input_is_parsed_or_rejected() {
@@ -255,7 +259,7 @@
         }
         accepted[1] += u32::from(matches!(http1::read_response(&bytes, true), Ok(Some(_))));
         accepted[2] += u32::from(matches!(frames::read(&bytes), Ok(Some(_))));
-        let (mut messages, mut reader) = (Deframer::new(1 << 16), ipc::Collector::new(1 << 20));
+        let (mut messages, mut reader) = (Deframer::new(1 << 16), ipc::Collector::new(COLLECTOR_LIMITS));
         messages.push(&bytes);
         while let Ok(Some(message)) = messages.next_message() {
             let Ok(data) = FlightData::decode(Bytes::from(message.to_vec())) else { break };
--- a/crates/flight/src/batch_validator.rs
+++ b/crates/flight/src/batch_validator.rs
@@ -1,7 +1,8 @@
 //! Validates the header of a record batch against its schema and its body.
 //!
 //! The values in the columns are not inspected. Each buffer is checked to lie inside the body and to be as long as its
-//! column needs.
+//! column needs. What a reader needs beyond the body is added up in a [`DecodedSize`], which the caller limits before
+//! anything is decoded.
 
 use arrow_ipc::RecordBatch;
 use arrow_schema::{DataType, Field};
@@ -20,13 +21,34 @@
     variadic_counts: std::vec::IntoIter<i64>,
     body: &'a [u8],
     compressed: bool,
-    /// The total decompressed size that the compressed buffers state, in bytes.
-    decompressed_bytes: u64,
+    size: DecodedSize,
 }
 
-/// Validates a record batch against its columns. Returns the decompressed size that its compressed buffers
-/// state, in bytes.
-pub(crate) fn validate_batch(batch: RecordBatch<'_>, columns: &[&Field], body: &[u8]) -> Result<u64, String> {
+/// What a header states beyond the bytes of its body. A few bytes can state any amount of either.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct DecodedSize {
+    /// The total decompressed size of the compressed buffers, in bytes.
+    pub(crate) decompressed_bytes: u64,
+    /// The number of values in columns whose own buffers need no bytes: nulls, structs, lists of a fixed size and runs.
+    pub(crate) values_without_bytes: u64,
+}
+
+impl DecodedSize {
+    /// Returns the sum of two sizes.
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self {
+            decompressed_bytes: self.decompressed_bytes.saturating_add(other.decompressed_bytes),
+            values_without_bytes: self.values_without_bytes.saturating_add(other.values_without_bytes),
+        }
+    }
+}
+
+/// Validates a record batch against its columns. Returns what it states beyond its body.
+pub(crate) fn validate_batch(
+    batch: RecordBatch<'_>,
+    columns: &[&Field],
+    body: &[u8],
+) -> Result<DecodedSize, String> {
     let nodes: Vec<_> = batch.nodes().iter().flatten().map(|n| (n.length(), n.null_count())).collect();
     let buffers: Vec<_> = batch.buffers().iter().flatten().map(|b| (b.offset(), b.length())).collect();
     let variadic_counts: Vec<i64> = batch.variadicBufferCounts().iter().flatten().collect();
@@ -36,7 +58,7 @@
         variadic_counts: variadic_counts.into_iter(),
         body,
         compressed: batch.compression().is_some(),
-        decompressed_bytes: 0,
+        size: DecodedSize::default(),
     };
     for column in columns {
         validator.column(column.data_type(), Some(batch.length()))?;
@@ -44,7 +66,7 @@
     if validator.nodes.next().is_some() || validator.buffers.next().is_some() {
         return Err("more columns than the schema has".to_owned());
     }
-    Ok(validator.decompressed_bytes)
+    Ok(validator.size)
 }
 
 impl BatchValidator<'_> {
@@ -63,7 +85,8 @@
                 stated => {
                     let stated =
                         u64::try_from(stated).map_err(|_| "a compressed buffer of a negative length")?;
-                    self.decompressed_bytes = self.decompressed_bytes.saturating_add(stated);
+                    let decompressed = &mut self.size.decompressed_bytes;
+                    *decompressed = decompressed.saturating_add(stated);
                     stated
                 }
             }
@@ -114,6 +137,9 @@
             return Err("a column whose length makes no sense".to_owned());
         }
         let (rows, nulls) = (length as u64, nulls as u64);
+        if !has_bytes(data_type) {
+            self.size.values_without_bytes = self.size.values_without_bytes.saturating_add(rows);
+        }
         let packed_bytes = |bits: u64| rows.saturating_mul(bits).div_ceil(8);
         match data_type {
             T::Null => {}
@@ -186,6 +212,16 @@
     }
 }
 
+/// Returns whether each value of a column of this type needs some bits in a buffer of the column itself, besides the
+/// validity bitmap, which is left out where there are no nulls.
+fn has_bytes(data_type: &DataType) -> bool {
+    use DataType as T;
+    !matches!(
+        data_type,
+        T::Null | T::Struct(_) | T::FixedSizeList(..) | T::RunEndEncoded(..) | T::FixedSizeBinary(0)
+    )
+}
+
 /// Returns the size of a value of a fixed-width type, in bits.
 fn bit_width(data_type: &DataType) -> Result<u64, String> {
     use DataType as T;
--- a/crates/flight/src/ipc.rs
+++ b/crates/flight/src/ipc.rs
@@ -19,23 +19,49 @@
 use mallowgauge_core::Message;
 use mallowgauge_router::ShardId;
 
-use crate::batch_validator::{validate_batch, UNCOMPRESSED_BUFFER};
+use crate::batch_validator::{validate_batch, DecodedSize, UNCOMPRESSED_BUFFER};
 use crate::proto::FlightData;
 use crate::schema;
 
 /// The alignment of bodies and buffers, in bytes.
 const ALIGNMENT: usize = 8;
 
+/// Bytes of one row in the column that [`with_shard_column`] appends.
+const SHARD_BYTES: usize = size_of::<u32>();
+
+/// Limits on what the messages of a stream state. They hold before memory is spent on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CollectorLimits {
+    /// Bytes of all compressed columns after decompression, and values of all columns whose values need no bytes. A
+    /// dictionary counts for as long as it is kept.
+    pub decoded_bytes: usize,
+    /// Bytes of the column that [`with_shard_column`] appends to one record batch.
+    pub shard_column_bytes: usize,
+}
+
+/// A validated message, and what it states beyond its body.
+#[derive(Clone, Debug)]
+struct CollectedMessage {
+    message: Message,
+    decoded_size: DecodedSize,
+}
+
+impl CollectedMessage {
+    fn bytes(&self) -> usize {
+        self.message.header.len() + self.message.body.len()
+    }
+}
+
 /// Validates and collects the messages of a stream into a table.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Collector {
+    limits: CollectorLimits,
     schema: Option<StreamSchema>,
     schema_header: Bytes,
-    messages: Vec<Message>,
+    messages: Vec<CollectedMessage>,
     rows: u64,
     bytes: usize,
-    decompressed_bytes: u64,
-    max_decompressed_bytes: u64,
+    decoded_size: DecodedSize,
 }
 
 /// The schema of a stream, and the dictionaries received so far.
@@ -62,11 +88,18 @@
 }
 
 impl Collector {
-    /// Creates a collector for a stream whose compressed columns may decompress to at most
-    /// `max_decompressed_bytes`.
+    /// Creates a collector for a stream.
     #[must_use]
-    pub fn new(max_decompressed_bytes: usize) -> Self {
-        Self { max_decompressed_bytes: max_decompressed_bytes as u64, ..Self::default() }
+    pub fn new(limits: CollectorLimits) -> Self {
+        Self {
+            limits,
+            schema: None,
+            schema_header: Bytes::new(),
+            messages: Vec::new(),
+            rows: 0,
+            bytes: 0,
+            decoded_size: DecodedSize::default(),
+        }
     }
 
     /// Returns whether the schema has not been received.
@@ -84,7 +117,8 @@
     /// Validates and adds the next message of the stream. A message with metadata only is ignored.
     ///
     /// # Errors
-    /// Returns a description of the problem if the message is invalid or does not match the schema.
+    /// Returns a description of the problem if the message is invalid, does not match the schema or states more than
+    /// the limits allow.
     pub fn push(&mut self, data: FlightData) -> Result<(), String> {
         if data.data_header.is_empty() {
             return if data.data_body.is_empty() {
@@ -101,6 +135,7 @@
             return Err("a version of Arrow's format that is not known".to_owned());
         }
         let message_type = message.header_type();
+        let decoded_size;
         match (&mut self.schema, message_type) {
             (None, MessageHeader::Schema) => {
                 let schema = schema::read_schema(&data.data_header)?;
@@ -123,7 +158,7 @@
                 let columns = [Field::new("", value_type.clone(), true)];
                 let columns: Vec<&Field> = columns.iter().collect();
                 let batch = batch.data().ok_or("a dictionary without values")?;
-                self.decompressed_bytes += validate_batch(batch, &columns, &data.data_body)?;
+                decoded_size = validate_batch(batch, &columns, &data.data_body)?;
                 stream.received_dictionaries.insert(*id);
             }
             (Some(stream), MessageHeader::RecordBatch) => {
@@ -134,16 +169,26 @@
                     return Err(format!("the dictionary {id} is missing"));
                 }
                 let columns: Vec<&Field> = stream.schema.fields().iter().map(AsRef::as_ref).collect();
-                self.decompressed_bytes += validate_batch(batch, &columns, &data.data_body)?;
-                self.rows += u64::try_from(batch.length()).map_err(|error| error.to_string())?;
+                decoded_size = validate_batch(batch, &columns, &data.data_body)?;
+                let rows = u64::try_from(batch.length()).map_err(|error| error.to_string())?;
+                if rows > (self.limits.shard_column_bytes / SHARD_BYTES) as u64 {
+                    return Err("more rows than one batch may have".to_owned());
+                }
+                self.rows += rows;
             }
             _ => return Err("a message that is neither schema, dictionary nor batch".to_owned()),
         }
-        if self.decompressed_bytes > self.max_decompressed_bytes {
+        self.decoded_size = self.decoded_size.plus(decoded_size);
+        let limit = self.limits.decoded_bytes as u64;
+        if self.decoded_size.decompressed_bytes > limit {
             return Err("compressed columns that would inflate to too much".to_owned());
         }
+        if self.decoded_size.values_without_bytes > limit {
+            return Err("more values than a table may have".to_owned());
+        }
         self.bytes += data.data_header.len() + data.data_body.len();
-        self.messages.push(Message { header: data.data_header, body: data.data_body });
+        let message = Message { header: data.data_header, body: data.data_body };
+        self.messages.push(CollectedMessage { message, decoded_size });
         Ok(())
     }
 
@@ -151,6 +196,7 @@
     #[must_use]
     pub fn finish(self) -> Option<CheckedTable> {
         let Self { schema, schema_header, messages, rows, bytes, .. } = self;
+        let messages = messages.into_iter().map(|collected| collected.message).collect();
         schema.map(|_| CheckedTable { schema: schema_header, messages, rows, bytes })
     }
 
@@ -158,12 +204,12 @@
     /// remain in the collector, and with its number of rows. Returns no messages and `None` if the last
     /// message is a dictionary or there is none.
     pub fn take_batch(&mut self) -> (Vec<Message>, Option<u64>) {
-        let is_dictionary = |message: &Message| dictionary_id(message).is_some();
+        let is_dictionary = |collected: &CollectedMessage| dictionary_id(&collected.message).is_some();
         if self.messages.last().is_none_or(is_dictionary) {
             self.drop_replaced_dictionary();
             return (Vec::new(), None);
         }
-        let messages = self.messages.clone();
+        let messages = self.messages.iter().map(|collected| collected.message.clone()).collect();
         self.messages.pop();
         self.update_size();
         (messages, Some(std::mem::take(&mut self.rows)))
@@ -176,19 +222,20 @@
             let batch = header.and_then(|header| header.header_as_dictionary_batch());
             batch.filter(|batch| !batch.isDelta()).map(|batch| batch.id())
         };
-        if let Some(id) = self.messages.last().and_then(full_dictionary_id) {
+        if let Some(id) = self.messages.last().and_then(|last| full_dictionary_id(&last.message)) {
             let last = self.messages.pop();
-            self.messages.retain(|message| dictionary_id(message) != Some(id));
+            self.messages.retain(|collected| dictionary_id(&collected.message) != Some(id));
             self.messages.extend(last);
         }
         self.update_size();
     }
 
-    /// Recomputes the size after messages were removed, and starts the count of decompressed bytes anew.
+    /// Recomputes the sizes after messages were removed.
     fn update_size(&mut self) {
-        let size = |message: &Message| message.header.len() + message.body.len();
-        self.bytes = self.schema_header.len() + self.messages.iter().map(size).sum::<usize>();
-        self.decompressed_bytes = 0;
+        let bytes = self.messages.iter().map(CollectedMessage::bytes).sum::<usize>();
+        self.bytes = self.schema_header.len() + bytes;
+        let sizes = self.messages.iter().map(|collected| collected.decoded_size);
+        self.decoded_size = sizes.fold(DecodedSize::default(), DecodedSize::plus);
     }
 
     /// Returns the size of the collected messages in bytes.
@@ -314,7 +361,7 @@
     let header = arrow_ipc::root_as_message(&message.header).map_err(|error| error.to_string())?;
     let batch = header.header_as_record_batch().ok_or("no record batch")?;
     let rows = usize::try_from(batch.length()).map_err(|error| error.to_string())?;
-    let mut column = Vec::with_capacity(rows * 4 + 2 * ALIGNMENT);
+    let mut column = Vec::with_capacity(rows * SHARD_BYTES + 2 * ALIGNMENT);
     if batch.compression().is_some() && rows > 0 {
         // In a compressed body each buffer is preceded by its decompressed length, or by this value.
         column.extend_from_slice(&UNCOMPRESSED_BUFFER.to_le_bytes());
--- a/crates/flight/src/lib.rs
+++ b/crates/flight/src/lib.rs
@@ -5,6 +5,7 @@
 mod batch_validator;
 pub mod grpc;
 pub mod ipc;
+pub mod json_size;
 pub mod proto;
 pub mod rows;
 pub mod schema;
--- a/crates/flight/src/rows.rs
+++ b/crates/flight/src/rows.rs
@@ -12,11 +12,13 @@
 use arrow_array::RecordBatch;
 use arrow_buffer::Buffer;
 use arrow_ipc::reader::StreamDecoder;
-use arrow_schema::{DataType, Schema};
+use arrow_schema::{ArrowError, DataType, Schema};
 use bytes::Bytes;
 use mallowgauge_core::Message;
 use mallowgauge_router::{Outcome, ShardId};
 
+use crate::json_size::{check_json_size, MeasureError};
+
 /// The result of one part, as a backend reports it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PartResult {
@@ -102,17 +104,33 @@
     shards.iter().zip(ends).zip(blobs).map(part_result).collect()
 }
 
+/// Why a table cannot be converted to JSON.
+#[derive(Debug, thiserror::Error)]
+pub enum JsonError {
+    /// The table cannot be decoded, with the reason.
+    #[error("{0}")]
+    Unreadable(String),
+    /// The text may exceed its limit, or a column cannot be formatted.
+    #[error(transparent)]
+    Measure(#[from] MeasureError),
+    /// The table has a type that cannot be converted.
+    #[error(transparent)]
+    Unsupported(#[from] ArrowError),
+}
+
 /// Converts a table to a JSON array with one object per row, the form in which HTTP/1.1 clients receive
-/// tables.
+/// tables. A table whose text may have more than `limit` bytes is not converted.
 ///
 /// # Errors
-/// The table cannot be decoded, or has a type that cannot be converted.
-pub fn to_json(schema: &Bytes, messages: &[Message]) -> Result<String, String> {
-    let (_, batches) = decode_batches(schema, messages)?;
+/// The table cannot be decoded, has a type that cannot be converted, or its text may be too long.
+pub fn to_json(schema: &Bytes, messages: &[Message], limit: usize) -> Result<String, JsonError> {
+    let (_, batches) = decode_batches(schema, messages).map_err(JsonError::Unreadable)?;
+    check_json_size(&batches, limit)?;
     let mut writer = arrow_json::ArrayWriter::new(Vec::new());
     let batch_refs: Vec<&RecordBatch> = batches.iter().collect();
-    writer.write_batches(&batch_refs).map_err(|error| error.to_string())?;
-    writer.finish().map_err(|error| error.to_string())?;
-    let text = String::from_utf8(writer.into_inner()).map_err(|error| error.to_string())?;
+    writer.write_batches(&batch_refs)?;
+    writer.finish()?;
+    let text = String::from_utf8(writer.into_inner()).map_err(|error| error.to_string());
+    let text = text.map_err(JsonError::Unreadable)?;
     Ok(if text.is_empty() { "[]".to_owned() } else { text })
 }
--- /dev/null
+++ b/crates/mallowgauge/tests/flight_memory.rs
@@ -0,0 +1,110 @@
+//! Small tables that stand for more than the memory: they come from clients, and from backends for clients over HTTP and
+//! over Flight. A limit has to hold before its memory is spent.
+
+use std::sync::Arc;
+
+use mallowgauge_flight::grpc::frame;
+use mallowgauge_flight::proto::{FlightDescriptor, FlightInfo};
+use mallowgauge_testkit::columns::{listings, messages_of, Script, ScriptedReply, TableEncoding};
+use mallowgauge_testkit::hostile_tables::{hostile_tables, rows_of_nulls, HostileTable};
+use mallowgauge_testkit::manual_peers::{query, Connection};
+use mallowgauge_testkit::raw_http2::{RawHttp2Client, StreamReply};
+use mallowgauge_testkit::Deployment;
+use prost::Message;
+use serde_json::json;
+
+/// The memory that the program may use, in MB.
+const MEMORY_MB: u64 = 64;
+/// gRPC's status `INVALID_ARGUMENT`.
+const INVALID_ARGUMENT: u32 = 3;
+
+/// Starts a program with a memory limit. Its backends answer shard 0 with the hostile table, if there is one.
+fn start(hostile: Option<HostileTable>) -> Deployment {
+    let script: Script = Arc::new(move |_, ticket, _| {
+        let shard = ticket["range"].as_u64().expect("a shard") as u32;
+        match &hostile {
+            Some(table) if shard == 0 => ScriptedReply::Table(vec![table.batch.clone()], table.encoding),
+            _ => ScriptedReply::Table(vec![listings(shard, 2)], TableEncoding::default()),
+        }
+    });
+    Deployment::start(script, json!({}), |file| file["limits"]["memory_mb"] = json!(MEMORY_MB))
+}
+
+fn run_over_http(deployment: &Deployment, id: &str, shard: u32) -> (u16, String) {
+    let mut client = Connection::connect(deployment.program.http);
+    client.send(query(id, "search", 3000, &[shard]));
+    client.response().expect("an answer")
+}
+
+fn run_over_flight(deployment: &Deployment, id: &str) -> StreamReply {
+    let mut raw = RawHttp2Client::connect(deployment.program.flight);
+    let command = json!({"kind": "search", "id": id, "ranges": [0], "predicate": "c41e77d0"});
+    let descriptor = FlightDescriptor::command(command.to_string().into());
+    let reply = raw.call("GetFlightInfo", &[], &frame(&descriptor));
+    let info = FlightInfo::decode(reply.messages[0].as_slice()).expect("a FlightInfo");
+    let ticket = frame(info.endpoint[0].ticket.as_ref().expect("a ticket"));
+    raw.call("DoGet", &[("grpc-timeout", "3S")], &ticket)
+}
+
+/// Checks that the program has stayed within its memory and answers other clients.
+fn assert_unharmed(deployment: &Deployment, name: &str) {
+    let text = std::fs::read_to_string(format!("/proc/{}/status", deployment.program.child.id()));
+    let text = text.expect("the program runs");
+    let line = text.lines().find(|line| line.starts_with("VmHWM:")).expect("the peak of resident memory");
+    let peak_kb: u64 = line.split_whitespace().nth(1).expect("a number").parse().expect("a number");
+    assert!(peak_kb < MEMORY_MB << 10, "{name}: {peak_kb} KB");
+    let (status, body) = run_over_http(deployment, &format!("next-{}", name.replace(' ', "-")), 1);
+    assert_eq!(status, 200, "{name}: {body}");
+}
+
+// Guards against a client that ends the program with one small table: 426 bytes were enough (review/2).
+#[test]
+fn small_table_of_a_client_does_not_use_up_the_memory() {
+    for method in ["DoPut", "DoExchange"] {
+        let deployment = start(None);
+        for table in hostile_tables() {
+            let messages = messages_of(std::slice::from_ref(&table.batch), table.encoding);
+            assert!(
+                messages.iter().map(|message| message.len()).sum::<usize>() < 256 << 10,
+                "{}",
+                table.name
+            );
+            let mut raw = RawHttp2Client::connect(deployment.program.flight);
+            let stream = raw.open_stream(method, &[], false);
+            // The program may end the stream early.
+            let _ = messages.iter().all(|message| raw.send_data(stream, message, false));
+            let _ = raw.send_data(stream, &[], true);
+            let reply = raw.read_reply(stream, true);
+            assert_eq!(reply.status(), Some(INVALID_ARGUMENT), "{method}, {}: {reply:?}", table.name);
+            assert_unharmed(&deployment, table.name);
+        }
+    }
+}
+
+// Guards against a backend that ends the program with one small table, which becomes text for a client over HTTP.
+#[test]
+fn small_table_of_a_backend_does_not_use_up_the_memory_over_http() {
+    for table in hostile_tables().into_iter().chain([rows_of_nulls()]) {
+        let name = table.name;
+        let deployment = start(Some(table));
+        let (status, body) = run_over_http(&deployment, "hostile", 0);
+        assert!((500..600).contains(&status), "{name}: {status} {}", body.len());
+        assert_unharmed(&deployment, name);
+    }
+}
+
+// Guards against a backend that ends the program with one small table, to which a column is appended for a client over
+// Flight.
+#[test]
+fn small_table_of_a_backend_does_not_use_up_the_memory_over_flight() {
+    for table in hostile_tables().into_iter().chain([rows_of_nulls()]) {
+        let name = table.name;
+        let deployment = start(Some(table));
+        let reply = run_over_flight(&deployment, "hostile");
+        let bytes: usize = reply.messages.iter().map(Vec::len).sum();
+        // A table that stays small is forwarded; any other is rejected.
+        assert!(bytes < 1 << 20, "{name}: {bytes} bytes");
+        assert!(reply.status().is_some(), "{name}: {reply:?}");
+        assert_unharmed(&deployment, name);
+    }
+}
--- a/crates/mallowgauge/tests/phases.rs
+++ b/crates/mallowgauge/tests/phases.rs
@@ -171,7 +171,8 @@
             .iter()
             .map(|m| mallowgauge_core::Message { header: m.data_header.clone(), body: m.data_body.clone() })
             .collect();
-        let text = mallowgauge_flight::rows::to_json(&messages[0].data_header, &table).expect("rows");
+        let text =
+            mallowgauge_flight::rows::to_json(&messages[0].data_header, &table, 1 << 20).expect("rows");
         let rows: Vec<Value> = serde_json::from_str(&text).expect("JSON");
         answer["rows"] = rows.into_iter().map(|mut row| row["id"].take()).collect();
         answer
--- a/crates/mallowgauge/tests/promises.rs
+++ b/crates/mallowgauge/tests/promises.rs
@@ -184,7 +184,7 @@
 #[test]
 fn flight_conformance_catalogue_names_existing_tests() {
     let name = Regex::new(r"\| `([a-z0-9_]+)`[^|`]*(?:`gatherer.rs` )?\| kept").expect("a pattern");
-    let sources = ["flight.rs", "flight_hard.rs", "flight_issuer.rs", "gatherer.rs"]
+    let sources = ["flight.rs", "flight_hard.rs", "flight_issuer.rs", "flight_memory.rs", "gatherer.rs"]
         .map(|f| read_text(&format!("crates/mallowgauge/tests/{f}")));
     let page = read_text("docs/flight-conformance.md");
     let named: BTreeSet<&str> =
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod core_scenario;
 pub mod fault_injection;
 pub mod flight;
+pub mod hostile_tables;
 pub mod manual_peers;
 pub mod raw_http2;
 pub mod stand_ins;
