Confirm no cancellation of a place-hold that another process may have run

A query that this process does not know was taken for one that was never executed, whichever process had issued its ticket; ExpireFlightEndpoint did the same; and revoke did not look at the tombstones of this process.

Change: both actions get the properties of a query from polled_query_spec, which compares the issuer; revoke rejects a non-idempotent query that may have been forgotten, or whose age is not known. All tickets of a request are checked before one is cancelled.

One assertion of a_renewed_outcome_is_retained_longer_and_a_revoked_id_does_not_run was wrong: it had a cancellation confirmed for a ticket as old as a forgotten query's, which submit rejects as possibly executed. It now demands that rejection, and the old result for a newer ticket.

--- a/crates/core/src/polled_queries/mod.rs
+++ b/crates/core/src/polled_queries/mod.rs
@@ -359,10 +359,11 @@
         CancelResult::Cancelled(run, waiters.into_iter().collect())
     }
 
-    /// Cancels a query that is not known, so that it will not be executed if it is submitted later.
+    /// Cancels a query that is not known, so that it will not be executed if it is submitted later. A
+    /// non-idempotent query without a creation time cannot be told from one that was forgotten.
     ///
     /// # Errors
-    /// There is no capacity to record the cancellation.
+    /// The query may have been executed and forgotten, or there is no capacity to record the cancellation.
     pub fn revoke(
         &mut self,
         now: Micros,
@@ -372,6 +373,9 @@
         if self.queries.contains_key(key) {
             return Ok(());
         }
+        if spec.non_idempotent && (spec.ticket_created_at.is_none() || self.tombstones.cover(key, &spec)) {
+            return Err(RejectReason::Forgotten);
+        }
         if !self.ensure_capacity(now) {
             return Err(RejectReason::Full);
         }
--- a/crates/core/tests/polled_queries.rs
+++ b/crates/core/tests/polled_queries.rs
@@ -221,9 +221,12 @@
         polled.submit(2_000, &key(1), spec, None, RunId(2)),
         Submission::Reject(RejectReason::Forgotten)
     );
-    polled.revoke(2_000, &key(2), spec).expect("there is capacity");
+    // A ticket as old as the forgotten one may have been its ticket; a newer one was not.
+    assert_eq!(polled.revoke(2_000, &key(2), spec), Err(RejectReason::Forgotten));
+    let newer = PolledQuerySpec { ticket_created_at: Some(2), ..spec };
+    polled.revoke(2_000, &key(2), newer).expect("there is capacity");
     assert_eq!(
-        polled.submit(2_000, &key(2), spec, None, RunId(3)),
+        polled.submit(2_000, &key(2), newer, None, RunId(3)),
         Submission::Reject(RejectReason::Cancelled)
     );
 }
@@ -259,3 +262,30 @@
     );
     assert_eq!(polled.created_at(&key(1)), None);
 }
+
+// Guards against a cancellation that is confirmed of a query which may have run and was forgotten.
+#[test]
+fn forgotten_query_is_not_reported_as_cancelled() {
+    let mut polled: PolledQueries<u64> = PolledQueries::new(LIMITS);
+    let spec = |non_idempotent, ticket_created_at| PolledQuerySpec {
+        request_hash: 0,
+        non_idempotent,
+        polled: false,
+        ticket_created_at,
+    };
+    for id in 0..10_u8 {
+        let run = RunId(id.into());
+        assert_eq!(polled.submit(1_000, &key(id), spec(true, Some(900)), None, run), Submission::Run(run));
+        assert!(polled.complete(1_000, run, 7, 1, false).is_empty());
+    }
+    // The first four were evicted, and after the retention all are forgotten.
+    for now in [1_001, 9_000] {
+        assert_eq!(polled.cancel(now, &key(0), |_| true), CancelResult::Unknown);
+        for created_at in [Some(900), None] {
+            let revoked = polled.revoke(now, &key(0), spec(true, created_at));
+            assert_eq!(revoked, Err(RejectReason::Forgotten), "{created_at:?} at {now}");
+        }
+    }
+    assert_eq!(polled.revoke(9_000, &key(0), spec(false, None)), Ok(()));
+    assert_eq!(polled.revoke(9_000, &key(1), spec(true, Some(901))), Ok(()));
+}
--- a/crates/edge/src/front/flight/methods/actions.rs
+++ b/crates/edge/src/front/flight/methods/actions.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use mallowgauge_core::polled_queries::{CancelResult, PolledQueryKey, PolledQuerySpec, RejectReason};
+use mallowgauge_core::polled_queries::{CancelResult, PolledQueryKey, RejectReason};
 use mallowgauge_core::sessions::OptionError;
 use mallowgauge_core::{Core, ResponseHandle};
 use mallowgauge_flight::grpc::{Code, Status};
@@ -148,10 +148,12 @@
 }
 
 impl FlightService {
-    /// Cancels the queries of a `FlightInfo`, including those that have not been run yet.
+    /// Cancels the queries of a `FlightInfo`, including those that have not been run yet. If one of them cannot be
+    /// cancelled here, none is.
     ///
     /// # Errors
-    /// One of its tickets is not valid, or its query can no longer be revoked.
+    /// One of its tickets is not valid, belongs to a query that may have been executed by another process, or its query
+    /// can no longer be revoked.
     fn cancel_flight(
         &mut self,
         now: Micros,
@@ -159,8 +161,13 @@
         identity: &Identity,
         core: &mut Core,
     ) -> Result<CancelStatus, Status> {
+        let mut cancellations = Vec::new();
+        for (command, origin) in self.commands_of(now, info, identity, core)? {
+            let spec = self.polled_query_spec(&command, origin, false, core)?;
+            cancellations.push((command, spec));
+        }
         let mut status = CancelStatus::Cancelled;
-        for (command, issued_at) in self.commands_of(now, info, identity, core)? {
+        for (command, spec) in cancellations {
             let key = PolledQueryKey { user: Rc::clone(&identity.user), id: command.id.as_str().into() };
             let result = self
                 .polled_queries
@@ -173,13 +180,6 @@
                 CancelResult::AlreadyCancelled => {}
                 CancelResult::TooLate => status = CancelStatus::NotCancellable,
                 CancelResult::Unknown => {
-                    let non_idempotent = !core.is_idempotent(command.class);
-                    let spec = PolledQuerySpec {
-                        request_hash: command.fingerprint(),
-                        non_idempotent,
-                        polled: false,
-                        ticket_created_at: Some(issued_at),
-                    };
                     self.cancel_unshared_runs(&key, core);
                     self.polled_queries.revoke(now, &key, spec).map_err(rejection_status)?;
                 }
--- a/crates/edge/src/front/flight/tickets.rs
+++ b/crates/edge/src/front/flight/tickets.rs
@@ -5,7 +5,7 @@
 
 use std::rc::Rc;
 
-use mallowgauge_core::polled_queries::{PolledQueryKey, PolledQuerySpec, PolledState, RejectReason};
+use mallowgauge_core::polled_queries::{PolledQueryKey, PolledState, RejectReason};
 use mallowgauge_core::Core;
 use mallowgauge_flight::grpc::{Code, Status};
 use mallowgauge_flight::proto::{FlightEndpoint, FlightInfo, Ticket};
@@ -15,6 +15,7 @@
 
 use super::auth::Identity;
 use super::command::{Command, UNUSED_ID};
+use super::origin::Origin;
 use super::service::FlightService;
 use super::status::{invalid_argument, rejection_status};
 
@@ -71,8 +72,7 @@
         Ok(ticket)
     }
 
-    /// Returns the commands of a `FlightInfo`'s tickets, or else of its descriptor, each with the time of its first
-    /// ticket.
+    /// Returns the commands of a `FlightInfo`'s tickets, or else of its descriptor, each with its origin.
     ///
     /// # Errors
     /// There is neither ticket nor descriptor, or one of them is not valid.
@@ -82,19 +82,22 @@
         info: &FlightInfo,
         identity: &Identity,
         core: &Core,
-    ) -> Result<Vec<(Command, Micros)>, Status> {
+    ) -> Result<Vec<(Command, Option<Origin>)>, Status> {
         let tickets = info.endpoint.iter().filter_map(|endpoint| endpoint.ticket.as_ref());
         let mut commands = Vec::new();
         for ticket in tickets {
             let ticket = self.open_ticket(now, &ticket.ticket, identity)?;
-            commands.push((Command::from_json(&ticket.command, core, UNUSED_ID)?, ticket.issued_at));
+            let command = Command::from_json(&ticket.command, core, UNUSED_ID)?;
+            commands.push((command, Some(Origin::of_ticket(&ticket))));
         }
         if commands.is_empty() {
             let descriptor = info
                 .flight_descriptor
                 .as_ref()
                 .ok_or_else(|| invalid_argument("neither ticket nor descriptor"))?;
-            commands.push((Command::from_descriptor(descriptor, core, UNUSED_ID)?, now));
+            let command = Command::from_descriptor(descriptor, core, UNUSED_ID)?;
+            let origin = command.origin;
+            commands.push((command, origin));
         }
         Ok(commands)
     }
@@ -118,10 +121,7 @@
         if matches!(self.polled_queries.state(now, &key), Some(PolledState::Cancelled)) {
             return Err(rejection_status(RejectReason::Cancelled));
         }
-        if !core.is_idempotent(command.class) && ticket.issuer != self.issuer {
-            return Err(Status::new(Code::FailedPrecondition, "it counts only where it was made")
-                .with_reason("OTHER_ISSUER"));
-        }
+        self.check_issuer(&command, Some(Origin::of_ticket(&ticket)), core)?;
         self.polled_queries.renew(now, &key);
         let renewed = self.issue_endpoint(now, &command, &identity.user, ticket.issued_at, ticket.polled);
         Ok(FlightEndpoint { app_metadata: endpoint.app_metadata, location: endpoint.location, ..renewed })
@@ -130,7 +130,7 @@
     /// Revokes the ticket of an endpoint.
     ///
     /// # Errors
-    /// The ticket is not valid, or its query can no longer be revoked.
+    /// The ticket is not valid, is valid at another instance only, or its query can no longer be revoked.
     pub fn revoke_endpoint(
         &mut self,
         now: Micros,
@@ -142,13 +142,7 @@
         let ticket = self.open_ticket(now, &signed.ticket, identity)?;
         let command = Command::from_json(&ticket.command, core, UNUSED_ID)?;
         let key = PolledQueryKey { user: Rc::clone(&identity.user), id: command.id.as_str().into() };
-        let non_idempotent = !core.is_idempotent(command.class);
-        let spec = PolledQuerySpec {
-            request_hash: command.fingerprint(),
-            non_idempotent,
-            polled: false,
-            ticket_created_at: Some(ticket.issued_at),
-        };
+        let spec = self.polled_query_spec(&command, Some(Origin::of_ticket(&ticket)), false, core)?;
         self.polled_queries.revoke(now, &key, spec).map_err(rejection_status)
     }
 }
--- a/crates/mallowgauge/tests/flight_issuer.rs
+++ b/crates/mallowgauge/tests/flight_issuer.rs
@@ -6,11 +6,12 @@
 
 use std::sync::Arc;
 
-use arrow_flight::{FlightClient, FlightDescriptor, PollInfo};
+use arrow_flight::{Action, CancelFlightInfoRequest, FlightClient, FlightDescriptor, FlightInfo, PollInfo};
 use common::{status, FailedCall};
 use futures::TryStreamExt;
 use mallowgauge_testkit::columns::{listings, ScriptedReply, TableEncoding};
 use mallowgauge_testkit::{Deployment, Program};
+use prost::Message;
 use serde_json::{json, Value};
 use tonic::transport::Endpoint;
 use tonic::Code;
@@ -126,3 +127,53 @@
         assert_eq!(test_bed.deployment.attempts_by_shard("search"), [(0, 2)], "{change:?}");
     }
 }
+
+// Guards against CANCELLED for a place-hold that another process has run (review/3), and against an endpoint that is
+// reported as expired and still counts at its issuer.
+#[tokio::test]
+async fn cancel_elsewhere_is_not_confirmed_for_a_non_idempotent_query() {
+    for change in [Change::Restart, Change::OtherInstance] {
+        let mut test_bed = TestBed::start();
+        let mut client = test_bed.client().await;
+        let info = client.get_flight_info(descriptor("place-hold", "got")).await.expect("info");
+        let ticket = info.endpoint[0].ticket.clone().expect("a ticket");
+        let _: Vec<_> =
+            client.do_get(ticket).await.expect("an answer").try_collect().await.expect("an answer");
+        let polled = test_bed.begin_polled_query("place-hold", "polled").await.info.expect("a FlightInfo");
+        test_bed.change(change);
+        let mut client = test_bed.client().await;
+        for info in [&info, &polled] {
+            let request = CancelFlightInfoRequest::new(info.clone());
+            let failed = client.cancel_flight_info(request).await.map_err(status).expect_err("a refusal");
+            assert_eq!(failed, other_issuer(), "{change:?}");
+        }
+        let action = Action::new("ExpireFlightEndpoint", info.endpoint[0].encode_to_vec());
+        let failed = async { client.do_action(action).await?.try_collect::<Vec<_>>().await }.await;
+        assert_eq!(failed.map_err(status).expect_err("a refusal"), other_issuer(), "{change:?}");
+        // Without an origin it is not known either whether the query was executed.
+        let bare = FlightInfo { flight_descriptor: Some(descriptor("place-hold", "got")), ..info };
+        let bare = FlightInfo { endpoint: Vec::new(), ..bare };
+        let request = CancelFlightInfoRequest::new(bare);
+        let failed = client.cancel_flight_info(request).await.map_err(status).expect_err("a refusal");
+        assert_eq!(failed.1.as_deref(), Some("OUTCOME_FORGOTTEN"), "{change:?}");
+        let attempts = |id| test_bed.deployment.attempts_by_shard(id);
+        assert_eq!((attempts("got"), attempts("polled")), (vec![(0, 1)], vec![(0, 1)]), "{change:?}");
+    }
+}
+
+// Guards clients that cancel before anything has run: a ticket that was never redeemed is cancelled by its issuer.
+#[tokio::test]
+async fn cancel_at_the_issuer_is_confirmed_before_the_query_runs() {
+    let test_bed = TestBed::start();
+    let mut client = test_bed.client().await;
+    for kind in ["place-hold", "search"] {
+        let info = client.get_flight_info(descriptor(kind, kind)).await.expect("info");
+        let request = CancelFlightInfoRequest::new(info.clone());
+        let result = client.cancel_flight_info(request).await.expect("a result");
+        assert_eq!(result.status(), arrow_flight::CancelStatus::Cancelled, "{kind}");
+        let ticket = info.endpoint[0].ticket.clone().expect("a ticket");
+        let failed = async { client.do_get(ticket).await?.try_collect::<Vec<_>>().await }.await;
+        assert_eq!(failed.map_err(status).expect_err("a refusal").0, Code::Cancelled, "{kind}");
+        assert_eq!(test_bed.deployment.attempts_by_shard(kind), [], "{kind}");
+    }
+}
