Reject values that refer to a null in their dictionary before they are written as text

Callers would see: one DoPut whose row refers to a null in a dictionary of nulls ends the process with every query that it had taken; a Flight backend's table does so for a client over HTTP.

Cause: arrow-json looks for nulls among a dictionary's keys only, and its encoder of the type null is unreachable!(). Such a table is valid and passes the collector.

Change: measuring, which precedes all writing, rejects such a value. A dictionary of nulls whose keys are null is written as before.

--- a/crates/flight/src/json_size.rs
+++ b/crates/flight/src/json_size.rs
@@ -36,6 +36,9 @@
     /// The text may exceed the limit.
     #[error("more text than may be made of one table")]
     TooLong,
+    /// A value refers to a null in its dictionary, on which the library's writer panics.
+    #[error("a dictionary value that is null")]
+    NullDictionaryValue,
     /// A column's values cannot be formatted.
     #[error(transparent)]
     Format(#[from] ArrowError),
@@ -228,7 +231,11 @@
         values: Range<usize>,
     ) -> Result<(), MeasureError> {
         self.spend_each(&values, VALUE_BYTES)?;
+        let holds_nulls_only = array.values().data_type() == &DataType::Null;
         for index in values.filter(|&index| array.is_valid(index)) {
+            if holds_nulls_only {
+                return Err(MeasureError::NullDictionaryValue);
+            }
             let key = array.keys().value(index).as_usize();
             self.spend_values(array.values(), key..key + 1)?;
         }
--- a/crates/mallowgauge/tests/flight_hard.rs
+++ b/crates/mallowgauge/tests/flight_hard.rs
@@ -10,6 +10,7 @@
 use mallowgauge_flight::grpc::{frame, Encoding};
 use mallowgauge_flight::proto::{self, FlightData, FlightDescriptor, FlightInfo, Ticket};
 use mallowgauge_testkit::columns::{listings, messages_of, numbers, Script, ScriptedReply, TableEncoding};
+use mallowgauge_testkit::manual_peers::{query, Connection};
 use mallowgauge_testkit::raw_http2::{self, RawHttp2Client, StreamReply};
 use mallowgauge_testkit::Deployment;
 use prost::Message;
@@ -474,3 +475,34 @@
     );
     assert!(is_serving(&deployment));
 }
+
+/// A row whose text is the null that its dictionary holds.
+fn dictionary_of_nulls() -> RecordBatch {
+    use arrow_array::types::Int8Type;
+    use arrow_array::{ArrayRef, DictionaryArray, Int8Array, NullArray};
+    let keys = Int8Array::from(vec![0]);
+    let column: ArrayRef = Arc::new(DictionaryArray::<Int8Type>::new(keys, Arc::new(NullArray::new(1))));
+    RecordBatch::try_from_iter_with_nullable([("tag", column, true)]).expect("a batch")
+}
+
+// Guards against a table that the JSON writer panics on, from a client and from a backend: only its own query fails.
+#[test]
+fn dictionary_of_nulls_does_not_end_the_program() {
+    let script: Script = Arc::new(|_, ticket, _| match shard(ticket) {
+        0 => ScriptedReply::Table(vec![dictionary_of_nulls()], TableEncoding::default()),
+        _ => ScriptedReply::Table(vec![listings(shard(ticket), 20)], TableEncoding::default()),
+    });
+    let deployment = start_deployment(script);
+    let mut raw = RawHttp2Client::connect(deployment.program.flight);
+    let stream = raw.open_stream("DoPut", &[], false);
+    for message in messages_of(&[dictionary_of_nulls()], TableEncoding::default()) {
+        let _ = raw.send_data(stream, &message, false);
+    }
+    let _ = raw.send_data(stream, &[], true);
+    assert_eq!(raw.read_reply(stream, true).status(), Some(3));
+    assert!(is_serving(&deployment));
+    let mut client = Connection::connect(deployment.program.http);
+    client.send(query("nulls", "search", 3000, &[0]));
+    assert_eq!(client.response().expect("an answer").0, 500);
+    assert!(is_serving(&deployment));
+}
