Keep the rows of a client's batch as text until their queries start

Callers would see: one DoPut of 45 KB with long defaults in its descriptor's command ends the gatherer by its memory limit.

Cause: when a batch was read, the defaults were copied into each of up to 4,096 rows, and all rows were parsed at once, though at most 64 queries of a stream are open.

Change: rows and metadata stay JSON text in one shared buffer, and are parsed and merged with the defaults when the query starts; the text of one query has at most 256 KB, as a message has.

--- a/crates/edge/src/front/flight/batch_driver.rs
+++ b/crates/edge/src/front/flight/batch_driver.rs
@@ -40,7 +40,8 @@
             if stream.can_start() {
                 let Some(message) = stream.queue.pop_front() else { return Ok(()) };
                 match message {
-                    BatchMessage::Query(tag, value) => {
+                    BatchMessage::Query(tag, text) => {
+                        let value = stream.parse_query(&text);
                         self.start_query(now, id, tag, value, service, core)?;
                     }
                     BatchMessage::Cancel(tag) => self.cancel_query(now, &tag, service, core),
@@ -99,7 +100,7 @@
         now: Micros,
         call: u64,
         tag: String,
-        value: Value,
+        value: Result<Value, Status>,
         service: &mut FlightService,
         core: &mut Core,
     ) -> Result<(), Status> {
@@ -116,7 +117,8 @@
                 return Ok(());
             }
         }
-        let command = match Command::from_value(value, core, &service.generate_query_id()) {
+        let id = service.generate_query_id();
+        let command = match value.and_then(|value| Command::from_value(value, core, &id)) {
             Ok(command) => command,
             Err(status) => {
                 self.deliver(now, &tag, "", Err(status), service, core);
--- a/crates/edge/src/front/flight/batch_stream.rs
+++ b/crates/edge/src/front/flight/batch_stream.rs
@@ -8,7 +8,6 @@
 use mallowgauge_core::polled_queries::WaiterId;
 use mallowgauge_core::query_stream::{QueryStream, QueryStreamLimits, QueryStreamPhase};
 use mallowgauge_core::stream_admission::StreamLimits;
-use mallowgauge_core::Message;
 use mallowgauge_flight::grpc::Status;
 use mallowgauge_flight::ipc::{Collector, CollectorLimits};
 use mallowgauge_flight::proto::FlightData;
@@ -26,6 +25,8 @@
 const MAX_DICTIONARY_BYTES: usize = 512 * 1024;
 /// Maximum number of rows of one record batch of queries.
 const MAX_BATCH_ROWS: u64 = 4096;
+/// Maximum length of the JSON text of one query, in bytes.
+const MAX_QUERY_BYTES: usize = 256 * 1024;
 /// Maximum length of a query's tag, in bytes.
 const MAX_TAG_BYTES: usize = 64;
 
@@ -41,8 +42,9 @@
 /// A client's message on a batch stream.
 #[derive(Clone, Debug)]
 pub enum BatchMessage {
-    /// A query with its tag.
-    Query(String, Value),
+    /// The tag of a query, and the JSON text of its fields. It is parsed and merged with the defaults once the query
+    /// starts: both take many times the memory of the text.
+    Query(String, Bytes),
     /// Cancels the query of this tag.
     Cancel(String),
 }
@@ -129,18 +131,17 @@
         if !data.data_header.is_empty() {
             self.receive_columns(data)
         } else if !data.app_metadata.is_empty() {
-            let value = serde_json::from_slice(&data.app_metadata);
-            let Ok(Value::Object(fields)) = value else {
-                return Err(invalid_argument("the metadata are not JSON"));
-            };
-            self.receive_metadata(fields)
+            self.receive_metadata(data.app_metadata)
         } else {
             Ok(())
         }
     }
 
     /// Queues a query or a cancellation that was sent as metadata.
-    fn receive_metadata(&mut self, fields: Map<String, Value>) -> Result<(), Status> {
+    fn receive_metadata(&mut self, text: Bytes) -> Result<(), Status> {
+        let Ok(Value::Object(fields)) = serde_json::from_slice(&text) else {
+            return Err(invalid_argument("the metadata are not JSON"));
+        };
         if let Some(tag) = fields.get("cancel") {
             let tag = tag.as_str().ok_or_else(|| invalid_argument("the tag to cancel is no text"))?;
             self.queue.push_back(BatchMessage::Cancel(tag.to_owned()));
@@ -154,15 +155,24 @@
             }
             Some(_) => return Err(invalid_argument("the tag is no text, or too long")),
         };
-        let query = self.with_defaults(fields);
-        self.queue.push_back(BatchMessage::Query(tag, query));
+        self.queue.push_back(BatchMessage::Query(tag, text));
         Ok(())
     }
 
-    fn with_defaults(&self, fields: Map<String, Value>) -> Value {
+    /// Parses the fields of a query, and adds the defaults for those that it does not set.
+    ///
+    /// # Errors
+    /// The text is too long, or no JSON object.
+    pub fn parse_query(&self, text: &[u8]) -> Result<Value, Status> {
+        if text.len() > MAX_QUERY_BYTES {
+            return Err(invalid_argument("a query that is too long"));
+        }
+        let Ok(Value::Object(fields)) = serde_json::from_slice(text) else {
+            return Err(invalid_argument("the query is no object"));
+        };
         let mut merged = self.defaults.clone();
         merged.extend(fields);
-        Value::Object(merged)
+        Ok(Value::Object(merged))
     }
 
     /// Reads a schema, dictionary or record batch. Each row of a record batch is a query.
@@ -185,19 +195,13 @@
         if rows > MAX_BATCH_ROWS {
             return Err(invalid_argument("too many rows in one batch"));
         }
-        let queries = parse_rows(&self.received_schema, &messages)
+        let queries = rows::to_json_rows(&self.received_schema, &messages, MAX_DECODED_BYTES)
             .map_err(|reason| invalid_argument(format!("the rows: {reason}")))?;
-        for fields in queries {
+        for text in queries {
             let tag = self.next_row.to_string();
             self.next_row += 1;
-            let query = self.with_defaults(fields);
-            self.queue.push_back(BatchMessage::Query(tag, query));
+            self.queue.push_back(BatchMessage::Query(tag, text));
         }
         Ok(())
     }
 }
-
-fn parse_rows(schema: &Bytes, messages: &[Message]) -> Result<Vec<Map<String, Value>>, String> {
-    let text = rows::to_json(schema, messages, MAX_DECODED_BYTES).map_err(|error| error.to_string())?;
-    serde_json::from_str(&text).map_err(|e| e.to_string())
-}
--- a/crates/flight/src/rows.rs
+++ b/crates/flight/src/rows.rs
@@ -12,6 +12,7 @@
 use arrow_array::RecordBatch;
 use arrow_buffer::Buffer;
 use arrow_ipc::reader::StreamDecoder;
+use arrow_json::writer::{JsonArray, JsonFormat, LineDelimited};
 use arrow_schema::{ArrowError, DataType, Schema};
 use bytes::Bytes;
 use mallowgauge_core::Message;
@@ -124,13 +125,33 @@
 /// # Errors
 /// The table cannot be decoded, has a type that cannot be converted, or its text may be too long.
 pub fn to_json(schema: &Bytes, messages: &[Message], limit: usize) -> Result<String, JsonError> {
+    let text = write_json::<JsonArray>(schema, messages, limit)?;
+    let text = String::from_utf8(text).map_err(|error| JsonError::Unreadable(error.to_string()))?;
+    Ok(if text.is_empty() { "[]".to_owned() } else { text })
+}
+
+/// Converts a table to JSON objects, one for each row. The objects share one buffer. A table whose text may have more
+/// than `limit` bytes is not converted.
+///
+/// # Errors
+/// As [`to_json`].
+pub fn to_json_rows(schema: &Bytes, messages: &[Message], limit: usize) -> Result<Vec<Bytes>, JsonError> {
+    let text = Bytes::from(write_json::<LineDelimited>(schema, messages, limit)?);
+    // Line breaks in texts are escaped.
+    let lines = text.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
+    Ok(lines.map(|line| text.slice_ref(line)).collect())
+}
+
+fn write_json<F: JsonFormat>(
+    schema: &Bytes,
+    messages: &[Message],
+    limit: usize,
+) -> Result<Vec<u8>, JsonError> {
     let (_, batches) = decode_batches(schema, messages).map_err(JsonError::Unreadable)?;
     check_json_size(&batches, limit)?;
-    let mut writer = arrow_json::ArrayWriter::new(Vec::new());
-    let batch_refs: Vec<&RecordBatch> = batches.iter().collect();
-    writer.write_batches(&batch_refs)?;
+    let mut writer = arrow_json::Writer::<_, F>::new(Vec::new());
+    let batches: Vec<&RecordBatch> = batches.iter().collect();
+    writer.write_batches(&batches)?;
     writer.finish()?;
-    let text = String::from_utf8(writer.into_inner()).map_err(|error| error.to_string());
-    let text = text.map_err(JsonError::Unreadable)?;
-    Ok(if text.is_empty() { "[]".to_owned() } else { text })
+    Ok(writer.into_inner())
 }
--- a/crates/mallowgauge/tests/flight_memory.rs
+++ b/crates/mallowgauge/tests/flight_memory.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use mallowgauge_flight::grpc::frame;
-use mallowgauge_flight::proto::{FlightDescriptor, FlightInfo};
+use mallowgauge_flight::proto::{FlightData, FlightDescriptor, FlightInfo};
 use mallowgauge_testkit::columns::{listings, messages_of, Script, ScriptedReply, TableEncoding};
 use mallowgauge_testkit::hostile_tables::{hostile_tables, rows_of_nulls, HostileTable};
 use mallowgauge_testkit::manual_peers::{query, Connection};
-use mallowgauge_testkit::raw_http2::{RawHttp2Client, StreamReply};
+use mallowgauge_testkit::raw_http2::{self, RawHttp2Client, StreamReply};
 use mallowgauge_testkit::Deployment;
 use prost::Message;
 use serde_json::json;
@@ -108,3 +108,30 @@
         assert_unharmed(&deployment, name);
     }
 }
+
+/// Rows that share the defaults of their stream's descriptor: as many as one batch may have.
+const ROWS: usize = 4096;
+/// Length of a default: the copies of it for all rows would have 160 MB.
+const DEFAULT_BYTES: usize = 40_000;
+
+// Guards against a client whose rows are copied together with the long defaults of its stream before they start.
+#[test]
+fn long_defaults_are_not_copied_for_each_row_of_a_batch() {
+    use arrow_array::{ArrayRef, Int8Array, RecordBatch};
+    let deployment = start(None);
+    let column: ArrayRef = Arc::new(Int8Array::from(vec![0; ROWS]));
+    let batch = RecordBatch::try_from_iter([("row", column)]).expect("a batch");
+    let mut messages = messages_of(&[batch], TableEncoding::default());
+    let mut first = FlightData::decode(messages[0].slice(5..)).expect("FlightData");
+    let defaults = json!({"kind": "search", "ranges": [0], "predicate": "x".repeat(DEFAULT_BYTES)});
+    first.flight_descriptor = Some(FlightDescriptor::command(defaults.to_string().into()));
+    messages[0] = frame(&first).into();
+    let mut raw = RawHttp2Client::connect(deployment.program.flight);
+    let stream = raw.open_stream("DoPut", &[], false);
+    for message in messages {
+        assert!(raw.send_data(stream, &message, false));
+    }
+    // The first result shows that the rows have been read.
+    while raw.read_frame().expect("a frame of the first result").kind != raw_http2::DATA {}
+    assert_unharmed(&deployment, "long defaults");
+}
