Start further queries of a stream once all its responses were read

Cause: the sum of unread responses adds estimates and subtracts what is written. The estimates are higher, by some 240 bytes a result, so the sum stays above the 256 KB at which no query starts. Not the test's window: it has 8 MB.

Change: when all queued output has been written, nothing is unread.

--- a/crates/core/src/query_stream.rs
+++ b/crates/core/src/query_stream.rs
@@ -114,6 +114,12 @@
         self.unread_bytes = self.unread_bytes.saturating_sub(bytes);
     }
 
+    /// Records that the client has read all responses. Their sizes are estimates, so the sum of what was read may
+    /// never reach them.
+    pub fn all_bytes_read(&mut self) {
+        self.unread_bytes = 0;
+    }
+
     /// Returns the open query of a tag that a client wants to cancel. Its response still has to be sent.
     #[must_use]
     pub fn find(&self, tag: &T) -> Option<C> {
--- a/crates/core/tests/query_stream.rs
+++ b/crates/core/tests/query_stream.rs
@@ -83,3 +83,17 @@
         prop_assert_eq!(stream.phase(), QueryStreamPhase::Over);
     }
 }
+
+// Guards a long stream of small responses against standing still: what is left of estimated sizes does not add up.
+#[test]
+fn stream_is_read_again_once_all_responses_were_read() {
+    let limits = QueryStreamLimits { window: 4, backlog: 100 };
+    let mut stream: QueryStream<u8, u64> = QueryStream::new(limits);
+    for tag in 0..10 {
+        assert!(stream.may_read(), "{tag}");
+        assert_eq!(stream.begin(tag, 0), Ok(()));
+        assert!(stream.answer(&tag, 60));
+        stream.bytes_read(20);
+        stream.all_bytes_read();
+    }
+}
--- a/crates/edge/src/front/flight/call.rs
+++ b/crates/edge/src/front/flight/call.rs
@@ -169,6 +169,11 @@
         !matches!(self.state, CallState::HealthWatch(_))
     }
 
+    /// Returns whether all queued output was written, as far as the client's flow-control window is concerned.
+    pub fn is_output_written(&self) -> bool {
+        self.outbound.is_empty()
+    }
+
     /// Returns when the call's first timeout is due.
     pub fn poll_timeout(&self) -> Option<Micros> {
         let message_timeout = self.partial_since.map(|since| since + REQUEST_TIMEOUT);
--- a/crates/edge/src/front/flight/call_driver.rs
+++ b/crates/edge/src/front/flight/call_driver.rs
@@ -34,8 +34,12 @@
         }
         loop {
             let written = self.write(now, context);
+            let is_all_written = self.is_output_written();
             let CallState::BatchStream(stream) = &mut self.state else { break };
             stream.batch.bytes_read(written);
+            if is_all_written {
+                stream.batch.all_bytes_read();
+            }
             // As the client reads its responses, the backlog shrinks and more queries may start.
             if written == 0 || !(stream.can_read() || stream.can_start()) {
                 break;
--- a/crates/mallowgauge/tests/flight_memory.rs
+++ b/crates/mallowgauge/tests/flight_memory.rs
@@ -2,19 +2,22 @@
 //! over Flight. A limit has to hold before its memory is spent.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use mallowgauge_flight::grpc::frame;
-use mallowgauge_flight::proto::{FlightData, FlightDescriptor, FlightInfo};
+use mallowgauge_flight::proto::{FlightData, FlightDescriptor, FlightInfo, PutResult};
 use mallowgauge_testkit::columns::{listings, messages_of, Script, ScriptedReply, TableEncoding};
 use mallowgauge_testkit::hostile_tables::{hostile_tables, rows_of_nulls, HostileTable};
 use mallowgauge_testkit::manual_peers::{query, Connection};
 use mallowgauge_testkit::raw_http2::{self, RawHttp2Client, StreamReply};
 use mallowgauge_testkit::Deployment;
 use prost::Message;
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// The memory that the program may use, in MB.
 const MEMORY_MB: u64 = 64;
+/// A window for the results of a whole batch of queries, in bytes.
+const RESULTS_WINDOW: u32 = 8 << 20;
 /// gRPC's status `INVALID_ARGUMENT`.
 const INVALID_ARGUMENT: u32 = 3;
 
@@ -109,7 +112,7 @@
     }
 }
 
-/// Rows that share the defaults of their stream's descriptor: as many as one batch may have.
+/// As many rows as one batch of a client may have.
 const ROWS: usize = 4096;
 /// Length of a default: the copies of it for all rows would have 160 MB.
 const DEFAULT_BYTES: usize = 40_000;
@@ -135,3 +138,33 @@
     while raw.read_frame().expect("a frame of the first result").kind != raw_http2::DATA {}
     assert_unharmed(&deployment, "long defaults");
 }
+
+// Guards a whole batch of queries: it is within the limits, and its stream does not stand still before the last result.
+#[test]
+fn largest_batch_of_queries_is_answered_to_the_last() {
+    use arrow_array::{ArrayRef, RecordBatch, StringArray};
+    let deployment = start(None);
+    let text = |value: fn(usize) -> String| -> ArrayRef {
+        Arc::new(StringArray::from_iter_values((0..ROWS).map(value)))
+    };
+    let columns = [
+        ("id", text(|row| format!("bulk-{row}"))),
+        ("kind", text(|_| "unknown".to_owned())),
+        ("predicate", text(|row| format!("c41e77d0-{row:032}"))),
+    ];
+    let batch = RecordBatch::try_from_iter(columns).expect("a batch");
+    let socket = std::net::TcpStream::connect(deployment.program.flight).expect("connect");
+    socket.set_read_timeout(Some(Duration::from_secs(20))).expect("set the read timeout");
+    let mut raw = RawHttp2Client::from_socket(socket, RESULTS_WINDOW);
+    let stream = raw.open_stream("DoPut", &[], false);
+    let compressed = TableEncoding { body_compression: Some(arrow_ipc::CompressionType::ZSTD), gzip: false };
+    for message in messages_of(&[batch], compressed) {
+        assert!(raw.send_data(stream, &message, false));
+    }
+    raw.send_data(stream, &[], true);
+    let reply = raw.read_reply(stream, true);
+    assert_eq!((reply.status(), reply.messages.len()), (Some(0), ROWS));
+    let first = PutResult::decode(reply.messages[0].as_slice()).expect("a result");
+    let first: Value = serde_json::from_slice(&first.app_metadata).expect("JSON");
+    assert_eq!(first["status"], "invalid");
+}
