Bound the rows and dictionaries that all batch streams keep by one budget

Callers would see: a client that leaves a batch of rows on each of some hundred streams, unread and unstarted, ends the gatherer by its memory limit, though each batch is within its own.

Cause: what one stream may keep was limited, 4 MiB of rows and 512 KB of dictionaries, and the sum over all streams was not; a few hundred bytes on the wire are enough for each.

Change: streams reserve both from core::batch_memory, a thirty-second of Flight's memory. A batch that finds no memory is not written as text, and its stream ends with RESOURCE_EXHAUSTED and FULL; one that would never fit is invalid as before.

--- /dev/null
+++ b/crates/core/src/batch_memory.rs
@@ -0,0 +1,78 @@
+//! The memory budget for batch streams: the dictionaries of all streams, and the text of their queries that were read and
+//! not started.
+//!
+//! Invariant: the sum of all reservations never exceeds the limit. A reservation is released when it is dropped.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// The budget is exhausted by all streams together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchMemoryExhausted;
+
+/// The budget. Clones share it.
+#[derive(Clone, Debug)]
+pub struct BatchMemory {
+    limit: usize,
+    reserved: Rc<Cell<usize>>,
+}
+
+impl BatchMemory {
+    /// Creates a budget of `limit` bytes with nothing reserved.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self { limit, reserved: Rc::default() }
+    }
+
+    /// Returns a reservation of no bytes.
+    #[must_use]
+    pub fn reservation(&self) -> BatchReservation {
+        BatchReservation { memory: self.clone(), bytes: 0 }
+    }
+
+    /// Returns the bytes that are reserved.
+    #[must_use]
+    pub fn reserved(&self) -> usize {
+        self.reserved.get()
+    }
+}
+
+/// What one stream has reserved.
+#[derive(Debug)]
+pub struct BatchReservation {
+    memory: BatchMemory,
+    bytes: usize,
+}
+
+impl BatchReservation {
+    /// Returns the limit of all reservations together.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        self.memory.limit
+    }
+
+    /// Returns the most that this reservation can be resized to.
+    #[must_use]
+    pub fn available(&self) -> usize {
+        self.memory.limit - self.memory.reserved.get() + self.bytes
+    }
+
+    /// Changes the reservation to `bytes` bytes.
+    ///
+    /// # Errors
+    /// There are not as many bytes available; the reservation is unchanged.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), BatchMemoryExhausted> {
+        if bytes > self.available() {
+            return Err(BatchMemoryExhausted);
+        }
+        self.memory.reserved.set(self.memory.reserved.get() - self.bytes + bytes);
+        self.bytes = bytes;
+        Ok(())
+    }
+}
+
+impl Drop for BatchReservation {
+    fn drop(&mut self) {
+        self.memory.reserved.set(self.memory.reserved.get() - self.bytes);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //!
 //! The other modules make separate decisions for the frontends and backend connections.
 
+pub mod batch_memory;
 pub mod connection_limits;
 pub mod polled_queries;
 pub mod query_stream;
--- a/crates/core/src/stream_admission/limits.rs
+++ b/crates/core/src/stream_admission/limits.rs
@@ -68,6 +68,8 @@
     pub outcome_bytes: usize,
     /// Sessions that are kept.
     pub sessions: usize,
+    /// Bytes of dictionaries and of queries that were not started, of all streams of queries.
+    pub batch_bytes: usize,
     /// Open queries per stream of queries.
     pub queries_per_stream: usize,
     /// Password checks per second.
@@ -79,7 +81,7 @@
     /// flight to backends.
     ///
     /// Half of the memory goes to tables, a quarter to connections, an eighth to the initial windows of
-    /// backends' streams, and an eighth to retained outcomes and sessions.
+    /// backends' streams, and an eighth to retained outcomes and sessions. A thirty-second more is for streams of queries.
     #[must_use]
     pub fn of(memory: usize, descriptors: usize, streams: usize) -> Self {
         let send_buffer = clamp(memory / SEND_BUFFERS_IN_MEMORY, SEND_BUFFER_BYTES);
@@ -103,6 +105,7 @@
             polled_queries: clamp(retained / 2 / POLLED_QUERY_BYTES, POLLED_QUERIES),
             outcome_bytes: retained / 2,
             sessions: clamp(retained / 16 / SESSION_BYTES, SESSIONS),
+            batch_bytes: memory / 32,
             queries_per_stream: MAX_QUERIES_PER_STREAM,
             handshakes_per_second: MAX_HANDSHAKES_PER_SECOND,
         }
@@ -117,6 +120,7 @@
             + self.outcome_bytes
             + self.polled_queries * POLLED_QUERY_BYTES
             + self.sessions * SESSION_BYTES
+            + self.batch_bytes
     }
 }
 
--- a/crates/edge/src/front/flight/batch_driver.rs
+++ b/crates/edge/src/front/flight/batch_driver.rs
@@ -38,7 +38,7 @@
         loop {
             let CallState::BatchStream(stream) = &mut self.state else { return Ok(()) };
             if stream.can_start() {
-                let Some(message) = stream.queue.pop_front() else { return Ok(()) };
+                let Some(message) = stream.next_message() else { return Ok(()) };
                 match message {
                     BatchMessage::Query(tag, text) => {
                         let value = stream.parse_query(&text);
--- a/crates/edge/src/front/flight/batch_stream.rs
+++ b/crates/edge/src/front/flight/batch_stream.rs
@@ -5,17 +5,19 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
+use mallowgauge_core::batch_memory::{BatchMemory, BatchMemoryExhausted, BatchReservation};
 use mallowgauge_core::polled_queries::WaiterId;
 use mallowgauge_core::query_stream::{QueryStream, QueryStreamLimits, QueryStreamPhase};
 use mallowgauge_core::stream_admission::StreamLimits;
 use mallowgauge_flight::grpc::Status;
 use mallowgauge_flight::ipc::{Collector, CollectorLimits};
+use mallowgauge_flight::json_size::MeasureError;
 use mallowgauge_flight::proto::FlightData;
-use mallowgauge_flight::rows;
+use mallowgauge_flight::rows::{self, JsonError};
 use prost::Message as _;
 use serde_json::{Map, Value};
 
-use super::status::invalid_argument;
+use super::status::{batch_memory_exhausted, invalid_argument};
 
 /// No more queries are read while more bytes of responses than this wait to be sent.
 const RESPONSE_BACKLOG_BYTES: usize = 256 * 1024;
@@ -67,11 +69,13 @@
     columns: Collector,
     received_schema: Bytes,
     next_row: u64,
+    /// Memory for the dictionaries in `columns` and the texts in `queue`.
+    memory: BatchReservation,
 }
 
 impl BatchStream {
     /// Creates a stream on which nothing has been received.
-    pub fn new(kind: BatchKind, limits: &StreamLimits) -> Self {
+    pub fn new(kind: BatchKind, limits: &StreamLimits, memory: &BatchMemory) -> Self {
         Self {
             kind,
             batch: QueryStream::new(QueryStreamLimits {
@@ -89,6 +93,7 @@
             }),
             received_schema: Bytes::new(),
             next_row: 0,
+            memory: memory.reservation(),
         }
     }
 
@@ -102,6 +107,16 @@
         !self.queue.is_empty() && (self.batch.may_read() || self.batch.phase() != QueryStreamPhase::Open)
     }
 
+    /// Removes the next query or cancellation from the queue.
+    pub fn next_message(&mut self) -> Option<BatchMessage> {
+        let message = self.queue.pop_front();
+        if self.queue.is_empty() {
+            // Dictionaries stay reserved: what is less than before is always available.
+            let _ = self.memory.resize(self.columns.bytes());
+        }
+        message
+    }
+
     /// Records that the client has ended its side of the stream.
     pub fn input_ended(&mut self) {
         if self.queue.is_empty() {
@@ -188,15 +203,26 @@
         }
         // Dictionaries are kept for later record batches; a record batch is dropped once its rows are queued.
         let (messages, rows) = self.columns.take_batch();
-        if self.columns.bytes() > MAX_DICTIONARY_BYTES {
+        let dictionaries = self.columns.bytes();
+        if dictionaries > MAX_DICTIONARY_BYTES {
             return Err(invalid_argument("dictionaries that are too large"));
         }
+        self.memory.resize(dictionaries).map_err(|BatchMemoryExhausted| batch_memory_exhausted())?;
         let Some(rows) = rows else { return Ok(()) };
         if rows > MAX_BATCH_ROWS {
             return Err(invalid_argument("too many rows in one batch"));
         }
-        let queries = rows::to_json_rows(&self.received_schema, &messages, MAX_DECODED_BYTES)
-            .map_err(|reason| invalid_argument(format!("the rows: {reason}")))?;
+        let limit = MAX_DECODED_BYTES.min(self.memory.limit() - dictionaries);
+        let available = self.memory.available() - dictionaries;
+        let queries = rows::to_json_rows(&self.received_schema, &messages, available.min(limit));
+        let queries = queries.map_err(|error| match error {
+            JsonError::Measure(MeasureError::TooLong) if available < limit => batch_memory_exhausted(),
+            error => invalid_argument(format!("the rows: {error}")),
+        })?;
+        let text_bytes: usize = queries.iter().map(Bytes::len).sum();
+        self.memory
+            .resize(dictionaries + text_bytes)
+            .map_err(|BatchMemoryExhausted| batch_memory_exhausted())?;
         for text in queries {
             let tag = self.next_row.to_string();
             self.next_row += 1;
--- a/crates/edge/src/front/flight/service.rs
+++ b/crates/edge/src/front/flight/service.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use mallowgauge_core::batch_memory::BatchMemory;
 use mallowgauge_core::polled_queries::{PolledQueries, RunId, WaiterId};
 use mallowgauge_core::sessions::{SessionId, Sessions};
 use mallowgauge_core::stream_admission::StreamAdmission;
@@ -51,6 +52,8 @@
     pub admission: StreamAdmission,
     /// Queries that several calls may share: polled ones, and those that must be run once only.
     pub polled_queries: PolledQueries<Rc<QueryResponse>>,
+    /// The memory of batch streams.
+    pub batch_memory: BatchMemory,
     /// Queries submitted to the core.
     pub runs: BTreeMap<RunId, ActiveRun>,
     /// The call behind each waiter.
--- a/crates/edge/src/front/flight/status.rs
+++ b/crates/edge/src/front/flight/status.rs
@@ -20,6 +20,12 @@
     Status::new(Code::Internal, "the answer could not be written")
 }
 
+/// Returns the status of a batch stream whose rows find no memory. Queries of its earlier rows may have been executed.
+pub fn batch_memory_exhausted() -> Status {
+    let status = Status::new(Code::ResourceExhausted, "too many rows wait here");
+    status.with_reason("FULL").with_retry_after(FULL_RETRY_AFTER)
+}
+
 /// Returns the status of a query that arrives during a graceful shutdown.
 pub fn draining() -> Status {
     Status::new(Code::Unavailable, "this gatherer ends").with_reason("DRAINING").with_retry_after(1)
--- a/crates/edge/src/front/flight/stream_accept.rs
+++ b/crates/edge/src/front/flight/stream_accept.rs
@@ -38,10 +38,14 @@
     };
     let limits = *service.admission.limits();
     let state = match method {
-        Method::DoPut => CallState::BatchStream(Box::new(BatchStream::new(BatchKind::Put, &limits))),
-        Method::DoExchange => {
-            CallState::BatchStream(Box::new(BatchStream::new(BatchKind::Exchange, &limits)))
+        Method::DoPut => {
+            CallState::BatchStream(Box::new(BatchStream::new(BatchKind::Put, &limits, &service.batch_memory)))
         }
+        Method::DoExchange => CallState::BatchStream(Box::new(BatchStream::new(
+            BatchKind::Exchange,
+            &limits,
+            &service.batch_memory,
+        ))),
         method => CallState::Request(method),
     };
     // A handshake by headers alone is answered at once, because its client may not end its side of the stream.
--- a/crates/mallowgauge/tests/flight_memory.rs
+++ b/crates/mallowgauge/tests/flight_memory.rs
@@ -168,3 +168,47 @@
     let first: Value = serde_json::from_slice(&first.app_metadata).expect("JSON");
     assert_eq!(first["status"], "invalid");
 }
+
+/// Streams of one client, on several connections.
+const STREAMS: usize = 120;
+/// Streams on one connection: one less than it may have.
+const STREAMS_PER_CONNECTION: usize = 15;
+/// Length of the text in each row of a stream. All rows of all streams have 96 MB.
+const ROW_BYTES: usize = 200;
+
+// Guards against a client that leaves many batches unread and unstarted on as many streams.
+#[test]
+fn rows_that_wait_on_many_streams_stay_within_the_memory() {
+    use arrow_array::types::Int8Type;
+    use arrow_array::{ArrayRef, DictionaryArray, Int8Array, RecordBatch, StringArray};
+    let deployment = start(None);
+    let value: ArrayRef = Arc::new(StringArray::from(vec!["x".repeat(ROW_BYTES)]));
+    let keys = Int8Array::from(vec![0; ROWS]);
+    let texts: ArrayRef = Arc::new(DictionaryArray::<Int8Type>::new(keys, value));
+    let batch = RecordBatch::try_from_iter([("predicate", texts)]).expect("a batch");
+    let compressed = TableEncoding { body_compression: Some(arrow_ipc::CompressionType::ZSTD), gzip: false };
+    let messages = messages_of(&[batch], compressed);
+    let mut connections = Vec::new();
+    for _ in 0..STREAMS / STREAMS_PER_CONNECTION {
+        // The initial window size is 0, so no result can be sent.
+        let mut raw = RawHttp2Client::with_settings(deployment.program.flight, &[(4, 0)]);
+        for _ in 0..STREAMS_PER_CONNECTION {
+            let stream = raw.open_stream("DoPut", &[], false);
+            assert!(messages.iter().all(|message| raw.send_data(stream, message, false)));
+        }
+        connections.push(raw);
+    }
+    // The program reads all streams of a connection before the answer to the last.
+    for raw in &mut connections {
+        let stream = raw.start_call("GetSchema", &[], &frame(&FlightDescriptor::default()));
+        let reply = raw.read_reply(stream, false);
+        assert_eq!(reply.status(), Some(INVALID_ARGUMENT), "{reply:?}");
+    }
+    assert_unharmed(&deployment, "many streams");
+    drop(connections);
+    // The memory is available again.
+    let mut raw = RawHttp2Client::connect(deployment.program.flight);
+    let stream = raw.open_stream("DoPut", &[], false);
+    assert!(messages.iter().all(|message| raw.send_data(stream, message, false)));
+    while raw.read_frame().expect("a frame of the first result").kind != raw_http2::DATA {}
+}
