--- a/crates/mallowgauge/tests/flight_hard.rs
+++ b/crates/mallowgauge/tests/flight_hard.rs
@@ -156,15 +156,7 @@
     assert!(matches!(reply.status(), Some(4 | 13)), "{reply:?}");
     assert_eq!(deployment.attempts_by_shard("h"), [(0, 1)]);
     assert!(is_serving(&deployment));
-    assert!(peak_memory_kb(&deployment) < 48 << 10, "{} KB", peak_memory_kb(&deployment));
-}
-
-/// Returns the peak resident memory of the program, in KB.
-fn peak_memory_kb(deployment: &Deployment) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{}/status", deployment.program.child.id()))
-        .expect("a process");
-    let line = text.lines().find(|line| line.starts_with("VmHWM:")).expect("a line");
-    line.split_whitespace().nth(1).expect("a number").parse().expect("a number")
+    assert!(deployment.peak_memory_kb() < 48 << 10, "{} KB", deployment.peak_memory_kb());
 }
 
 // Guards the memory budget against clients that do not read: their answers stay in memory, so the program must stop
@@ -203,7 +195,7 @@
     let mut raw = RawHttp2Client::connect(deployment.program.flight);
     let reply = run_query(&mut raw, &command("place-hold", "h", &[1]));
     assert!(matches!(reply.status(), Some(0 | 13)), "{reply:?}");
-    assert!(peak_memory_kb(&deployment) < 64 << 10, "{} KB", peak_memory_kb(&deployment));
+    assert!(deployment.peak_memory_kb() < 64 << 10, "{} KB", deployment.peak_memory_kb());
     drop(readers);
     // Disconnecting the readers must release their memory.
     let served = (0..200).any(|i| {
@@ -268,7 +260,7 @@
     assert!(long_frame.is_closed());
     assert_eq!(run_query(&mut other, &command("search", "q", &[0])).status(), Some(0));
     assert!(is_serving(&deployment));
-    assert!(peak_memory_kb(&deployment) < 64 << 10, "{} KB", peak_memory_kb(&deployment));
+    assert!(deployment.peak_memory_kb() < 64 << 10, "{} KB", deployment.peak_memory_kb());
 }
 
 #[test]
--- a/crates/mallowgauge/tests/flight_memory.rs
+++ b/crates/mallowgauge/tests/flight_memory.rs
@@ -51,10 +51,7 @@
 
 /// Checks that the program has stayed within its memory and answers other clients.
 fn assert_unharmed(deployment: &Deployment, name: &str) {
-    let text = std::fs::read_to_string(format!("/proc/{}/status", deployment.program.child.id()));
-    let text = text.expect("the program runs");
-    let line = text.lines().find(|line| line.starts_with("VmHWM:")).expect("the peak of resident memory");
-    let peak_kb: u64 = line.split_whitespace().nth(1).expect("a number").parse().expect("a number");
+    let peak_kb = deployment.peak_memory_kb();
     assert!(peak_kb < MEMORY_MB << 10, "{name}: {peak_kb} KB");
     let (status, body) = run_over_http(deployment, &format!("next-{}", name.replace(' ', "-")), 1);
     assert_eq!(status, 200, "{name}: {body}");
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -291,6 +291,14 @@
         Self { program, attempts, discovery, backends, config: file, operator }
     }
 
+    /// Returns the peak resident memory of the program, in KB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.program.child.id());
+        let text = std::fs::read_to_string(path).expect("the program runs");
+        let line = text.lines().find(|line| line.starts_with("VmHWM:")).expect("a line");
+        line.split_whitespace().nth(1).expect("a number").parse().expect("a number")
+    }
+
     /// Starts another instance with the same files, on ports of its own.
     pub fn start_instance(&self) -> Program {
         Program::start(&self.config, &self.operator, DESCRIPTORS)
