End a case of the review with 2 where a stand-in meets what it did not expect

Cause: an exception that main did not name, such as a Flight error before the disruption, ended a script with Python's exit code 1, which means that the rule was broken.

Change: every exception of a case ends it with 2 and is in its record.

Measured: a case that raises a Flight error ends with 2 (1 before).

--- a/review/stand_ins_2/platform_side.py
+++ b/review/stand_ins_2/platform_side.py
@@ -225,7 +225,7 @@
     except CouldNotRun as reason:
         case.record(f"COULD NOT RUN: {reason}")
         print(f"could not run: {reason}")
-    except (OSError, ValueError, KeyError, IndexError) as reason:
+    except Exception as reason:  # Whatever a stand-in did not expect: the case was not played as it is meant.
         case.record(f"COULD NOT RUN: {type(reason).__name__}: {reason}")
         print(f"could not run: {type(reason).__name__}: {reason}")
     finally:
