Name record.txt in the folder of each case of the review

Need: the issue asks that each script writes record.txt in its folder. They did, but through the shared stand-in alone, so that nothing in a case's own folder named the file.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -68,4 +68,4 @@
     return broken
 
 
-main(HERE, play)
+main(os.path.join(HERE, "record.txt"), play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -100,4 +100,4 @@
     return []
 
 
-main(HERE, play)
+main(os.path.join(HERE, "record.txt"), play)
--- a/review/stand_ins_2/platform_side.py
+++ b/review/stand_ins_2/platform_side.py
@@ -30,7 +30,7 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`, with the time in milliseconds since the start."""
+    """Writes what was sent, answered and run to a file, with the time in milliseconds since the start."""
 
     def __init__(self, path):
         self._file = open(path, "w", encoding="utf-8")
@@ -186,9 +186,9 @@
 class Case:
     """Everything that one case starts; ends all of it."""
 
-    def __init__(self, folder):
+    def __init__(self, record_path):
         self.folder = tempfile.mkdtemp(prefix="mallowgauge-review-")
-        self.record = Record(os.path.join(folder, "record.txt"))
+        self.record = Record(record_path)
         self.gatherers = []
         self.record(f"TROUBLE={int(trouble())}")
 
@@ -208,10 +208,10 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder, play):
-    """Plays a case. `play(case)` returns the sentences that say which rule was broken; an empty list if none was."""
-    folder = os.path.abspath(folder)
-    case = Case(folder)
+def main(record_path, play):
+    """Plays a case, with its record in the file `record_path`. `play(case)` returns the sentences that say which rule was
+    broken; an empty list if none was."""
+    case = Case(record_path)
     code = COULD_NOT_RUN
     try:
         broken = play(case)
