Do not serve a value that its response's length cuts short

Cause: FrameConnection reported a response as soon as its frame was complete and decoded the bytes behind it afterwards. That they are no frame ended the connection and the parts that waited on it, not the response in front.

Ruled out by reading: a wrong length field, a value cut behind the core.

Change: a response is unconfirmed, and its part in flight, until the bytes behind it begin a frame or there are none; if they are no frame while anything else waits, its attempt ends as possibly executed. Nothing is passed on before its length is confirmed, so a cut value cannot be served there.

Same cause over Flight: lengths of gRPC messages and Arrow bodies were checked; a part result whose value is shorter than its buffer was not, and is rejected now (value_shorter_than_its_bytes_is_rejected failed without the change).

--- a/crates/edge/src/upstream/frame_connection.rs
+++ b/crates/edge/src/upstream/frame_connection.rs
@@ -3,6 +3,10 @@
 //! Responses to parts come in any order and name their part; responses to health checks come in the order of the
 //! checks. Only the first queued frame is ever partly written: it can be revoked until its first byte is written, and
 //! the backend may execute it once its last byte is written.
+//!
+//! A response counts only once the bytes behind it are known to begin another frame, or there are none. Otherwise its
+//! length may be wrong and its value cut. With nothing else in flight, backends may send noise behind a good response:
+//! there it counts as well, unless these bytes are text, as the rest of its value would be.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -71,6 +75,20 @@
     cancelled: bool,
 }
 
+/// A complete response to a part in flight, which does not count yet.
+#[derive(Debug)]
+struct UnconfirmedResponse {
+    part: String,
+    outcome: Outcome,
+    value: String,
+}
+
+/// Whether these bytes are text without control characters other than line breaks and tabs.
+fn is_text(bytes: &[u8]) -> bool {
+    let is_printable = |character: char| !character.is_control() || matches!(character, '\n' | '\r' | '\t');
+    std::str::from_utf8(bytes).is_ok_and(|text| text.chars().all(is_printable))
+}
+
 /// A backend connection that uses the platform's frames.
 pub(super) struct FrameConnection {
     backend: BackendId,
@@ -91,6 +109,8 @@
     answered: VecDeque<String>,
     /// Number of duplicate responses since the last new one.
     duplicates: usize,
+    /// The last response, until the bytes behind it confirm its length. Its part is still in `in_flight`.
+    unconfirmed: Option<UnconfirmedResponse>,
     input: Vec<u8>,
     /// When the incomplete frame in `input` began.
     partial_since: Option<Micros>,
@@ -208,7 +228,7 @@
             // Responses received before the connection broke still count: a written part may have been executed.
             // If they are malformed, only the loss of the connection is reported.
             self.stream.read(&mut self.input, MAX_INPUT_BYTES);
-            let _ = self.read_frames(now, events);
+            let _ = self.read_frames(now, false, events);
             return false;
         }
         if self.connect_deadline.is_some() {
@@ -261,6 +281,7 @@
             late_health_checks: 0,
             answered: VecDeque::new(),
             duplicates: 0,
+            unconfirmed: None,
             input: Vec::new(),
             partial_since: None,
             last_received: now,
@@ -380,7 +401,7 @@
             if self.input.len() > before {
                 (self.last_received, self.last_used) = (now, now);
             }
-            if let Err(error) = self.read_frames(now, events) {
+            if let Err(error) = self.read_frames(now, end == ReadEnd::Full, events) {
                 return self.protocol_failure(&error);
             }
             match end {
@@ -401,16 +422,26 @@
         false
     }
 
-    /// Handles the complete frames in the input buffer and removes them.
-    fn read_frames(&mut self, now: Micros, events: &mut Vec<UpstreamEvent>) -> Result<(), ProtocolError> {
-        while let Some((message, used)) = frames::read(&self.input)? {
+    /// Handles the complete frames in the input buffer and removes them. `more_received` states that the socket may
+    /// hold further bytes.
+    fn read_frames(
+        &mut self,
+        now: Micros,
+        more_received: bool,
+        events: &mut Vec<UpstreamEvent>,
+    ) -> Result<(), ProtocolError> {
+        loop {
+            let frame = frames::read(&self.input);
+            if self.is_confirmed(&frame, more_received) {
+                self.confirm_response(events);
+            }
+            let Some((message, used)) = frame? else { break };
             self.input.drain(..used);
             self.partial_since = None;
             self.handle_message(message, events)?;
         }
         self.expire_cancelled(now);
-        let expects_response =
-            !self.in_flight.is_empty() || !self.health_checks.is_empty() || self.late_health_checks > 0;
+        let expects_response = !self.in_flight.is_empty() || self.expects_health_check();
         if !self.input.is_empty() && !expects_response {
             // It would be taken for the beginning of the next response.
             return Err(ProtocolError::SurplusBytes);
@@ -425,6 +456,43 @@
         Ok(())
     }
 
+    /// Whether the bytes behind the last response confirm its length. `next` is what they decode to.
+    fn is_confirmed(
+        &self,
+        next: &Result<Option<(BackendMessage, usize)>, FrameError>,
+        more_received: bool,
+    ) -> bool {
+        let Some(response) = &self.unconfirmed else { return false };
+        let other_part_in_flight = self.in_flight.keys().any(|part| *part != response.part);
+        let awaits_more = other_part_in_flight || self.expects_health_check();
+        match next {
+            Err(_) => {
+                let may_be_cut = response.outcome == Outcome::Succeeded && is_text(&self.input);
+                !awaits_more && !may_be_cut
+            }
+            _ if !awaits_more => true,
+            Ok(Some(_)) => true,
+            Ok(None) if self.input.is_empty() => !more_received,
+            Ok(None) => self.input.len() >= frames::HEAD_BYTES,
+        }
+    }
+
+    /// Ends the part of the last response.
+    fn confirm_response(&mut self, events: &mut Vec<UpstreamEvent>) {
+        let Some(UnconfirmedResponse { part, outcome, value }) = self.unconfirmed.take() else { return };
+        let Some(ended) = self.in_flight.remove(&part) else { return };
+        self.duplicates = 0;
+        self.remember_answered(part);
+        if !ended.cancelled {
+            let value = (outcome == Outcome::Succeeded).then(|| value.into());
+            events.push(UpstreamEvent::AttemptEnded(ended.attempt, outcome, value));
+        }
+    }
+
+    fn expects_health_check(&self) -> bool {
+        !self.health_checks.is_empty() || self.late_health_checks > 0
+    }
+
     fn handle_message(
         &mut self,
         message: BackendMessage,
@@ -432,13 +500,10 @@
     ) -> Result<(), ProtocolError> {
         match message {
             BackendMessage::PartEnded { part, outcome, value } => {
-                let Some(ended) = self.in_flight.remove(&part) else { return self.handle_duplicate(&part) };
-                self.duplicates = 0;
-                self.remember_answered(part);
-                if !ended.cancelled {
-                    let value = (outcome == Outcome::Succeeded).then(|| value.into());
-                    events.push(UpstreamEvent::AttemptEnded(ended.attempt, outcome, value));
+                if !self.in_flight.contains_key(&part) {
+                    return self.handle_duplicate(&part);
                 }
+                self.unconfirmed = Some(UnconfirmedResponse { part, outcome, value });
             }
             // Responses come in the order of the checks, so those to timed-out checks come first. A late response of
             // a busy backend must not close the connection, which would lose the parts in flight.
--- a/crates/edge/src/upstream/frames.rs
+++ b/crates/edge/src/upstream/frames.rs
@@ -25,6 +25,9 @@
 
 /// Largest frame that a backend may send, in bytes: a value has to fit into a body of 64 KiB.
 pub const MAX_FRAME_BYTES: usize = 65 * 1024;
+/// Number of bytes that show whether a frame begins: its length and its kind.
+pub const HEAD_BYTES: usize = LENGTH_BYTES + 1;
+const LENGTH_BYTES: usize = 4;
 /// Longest header line of a response, in bytes.
 const MAX_HEADER_LINE_BYTES: usize = 1024;
 /// Length to which a backend's reason for closing is truncated in the log, in bytes.
@@ -126,7 +129,9 @@
 /// # Errors
 /// The frame is invalid. This is reported as early as possible, before the rest of the frame is received.
 pub fn read(input: &[u8]) -> Result<Option<(BackendMessage, usize)>, FrameError> {
-    let Some((head, body)) = input.split_first_chunk::<4>() else { return Ok(None) };
+    let Some((head, body)) = input.split_first_chunk::<LENGTH_BYTES>() else {
+        return read_partial_length(input).map(|()| None);
+    };
     let length = u32::from_be_bytes(*head) as usize;
     if length == 0 || length > MAX_FRAME_BYTES {
         return Err(FrameError::Length);
@@ -140,7 +145,17 @@
         FRAME_REJECTED => complete.then(|| BackendMessage::FrameRejected(printable_reason(content))),
         _ => return Err(FrameError::UnknownKind),
     };
-    Ok(message.map(|message| (message, 4 + length)))
+    Ok(message.map(|message| (message, LENGTH_BYTES + length)))
+}
+
+/// Checks the first bytes of a length: the smallest length that begins with them must not exceed the limit.
+fn read_partial_length(received: &[u8]) -> Result<(), FrameError> {
+    let mut smallest = [0; LENGTH_BYTES];
+    smallest[..received.len()].copy_from_slice(received);
+    if u32::from_be_bytes(smallest) as usize > MAX_FRAME_BYTES {
+        return Err(FrameError::Length);
+    }
+    Ok(())
 }
 
 /// Decodes an outcome.
--- a/crates/flight/src/rows.rs
+++ b/crates/flight/src/rows.rs
@@ -9,7 +9,7 @@
 
 use arrow_array::cast::AsArray;
 use arrow_array::types::UInt32Type;
-use arrow_array::RecordBatch;
+use arrow_array::{RecordBatch, StringArray};
 use arrow_buffer::Buffer;
 use arrow_ipc::reader::StreamDecoder;
 use arrow_json::writer::{JsonArray, JsonFormat, LineDelimited};
@@ -92,6 +92,9 @@
     let shards = column("range")?.as_primitive_opt::<UInt32Type>().ok_or("range is not uint32")?;
     let ends = column("end")?.as_string_opt::<i32>().ok_or("end is not utf8")?;
     let blobs = column("blob")?.as_string_opt::<i32>().ok_or("blob is not utf8")?;
+    if has_bytes_outside_its_values(blobs) {
+        return Err("blob has more bytes than its lengths say".to_owned());
+    }
     let part_result = |((shard, end), blob): ((Option<u32>, Option<&str>), Option<&str>)| {
         let outcome = match end {
             Some("good") => Outcome::Succeeded,
@@ -105,6 +108,18 @@
     shards.iter().zip(ends).zip(blobs).map(part_result).collect()
 }
 
+/// Returns whether a column's buffer holds other bytes than its values and padding, which is zero: then a length is
+/// wrong, and a value is cut.
+fn has_bytes_outside_its_values(column: &StringArray) -> bool {
+    let offsets = column.value_offsets();
+    let (start, end) = (offsets.first().copied().unwrap_or(0), offsets.last().copied().unwrap_or(0));
+    let (start, end) = (usize::try_from(start).unwrap_or(0), usize::try_from(end).unwrap_or(0));
+    let bytes = column.values().as_slice();
+    let before = bytes.get(..start).unwrap_or_default();
+    let behind = bytes.get(end..).unwrap_or_default();
+    before.iter().chain(behind).any(|&byte| byte != 0)
+}
+
 /// Why a table cannot be converted to JSON.
 #[derive(Debug, thiserror::Error)]
 pub enum JsonError {
--- a/crates/mallowgauge/tests/flight_hard.rs
+++ b/crates/mallowgauge/tests/flight_hard.rs
@@ -100,6 +100,12 @@
         "three gigabytes" => vec![valid[0].clone(), Bytes::from_static(&[0, 0xb2, 0xd0, 0x5e, 0, 1, 2, 3])],
         "nothing" => vec![framed(FlightData::default())],
         "half a message" => vec![valid[0].clone(), valid[1].slice(..valid[1].len() / 2)],
+        "short length" => {
+            let mut last = valid[valid.len() - 1].to_vec();
+            let length = u32::from_be_bytes([last[1], last[2], last[3], last[4]]) - 6;
+            last[1..5].copy_from_slice(&length.to_be_bytes());
+            [&valid[..valid.len() - 1], &[last.into()]].concat()
+        }
         _ => panic!("unknown corruption: {corruption}"),
     }
 }
@@ -117,6 +123,7 @@
         "a terabyte",
         "nothing",
         "half a message",
+        "short length",
     ] {
         // An idempotent query gets a corrupted table first and a valid one on retry; a non-idempotent one gets only
         // corrupted tables.
--- a/crates/mallowgauge/tests/upstream_crossings.rs
+++ b/crates/mallowgauge/tests/upstream_crossings.rs
@@ -467,3 +467,64 @@
     }
     assert!(received_bytes < 8 * 10 * 60_000, "all parts are written: {received_bytes} bytes");
 }
+
+// ---- responses whose length is too short ----
+
+/// Answers the parts of a query for these shards. The response to the last one has a length that is `missing` bytes
+/// too short, or that to the first one if another `follows` it. Returns the status and the body that the client
+/// receives; every later attempt of a search is answered.
+fn response_after_short_length(kind: &str, shards: &[u32], follows: bool, missing: usize) -> (u16, String) {
+    let test_bed = TestBed::start(1, |_| {});
+    let mut client = submit(&test_bed, "1", kind, 3_000, shards);
+    let mut first = accept(&test_bed.backends[0]);
+    let mut parts = first.next_parts();
+    assert_eq!(parts.len(), shards.len(), "{parts:?}");
+    let cut = if follows { parts.remove(0) } else { parts.pop().expect("a part") };
+    if !follows {
+        parts.iter().for_each(|part| first.answer_part(part, "good", "1840277719"));
+    }
+    let mut spoilt = frame(b'q', &format!("{} good 0 util=0.5\n1840277719", cut.id));
+    let length = u32::from_be_bytes([spoilt[0], spoilt[1], spoilt[2], spoilt[3]]) - missing as u32;
+    spoilt[..4].copy_from_slice(&length.to_be_bytes());
+    first.send(spoilt);
+    assert!(first.is_closed_by_peer(), "the connection is of no further use");
+    if kind == "search" {
+        let mut unanswered = if follows { shards.len() } else { 1 };
+        let mut second = accept(&test_bed.backends[0]);
+        while unanswered > 0 {
+            for part in second.next_parts() {
+                second.answer_part(&part, "good", "1840277719");
+                unanswered -= 1;
+            }
+        }
+    }
+    client.response().expect("a response")
+}
+
+// Guards against serving a value that its response's length cuts short: the bytes behind it are no frame, and another
+// part waits for one, or they are text as the value is.
+#[test]
+fn value_cut_by_a_short_length_is_not_served() {
+    for (follows, missing) in [(true, 1), (true, 3), (true, 6), (false, 1), (false, 6)] {
+        let place = format!("{missing} bytes missing, another part follows: {follows}");
+        let (status, body) = response_after_short_length("search", &[0, 1], follows, missing);
+        assert_eq!((status, body.matches("1840277719").count()), (200, 2), "{place}: {body}");
+        let (status, body) = response_after_short_length("place-hold", &[0, 1], follows, missing);
+        assert_eq!(status, 502, "{place}: {body}");
+    }
+}
+
+// Guards against rejecting a good response for what follows it where nothing else is awaited, which may be noise.
+#[test]
+fn response_with_noise_behind_it_counts_if_nothing_else_is_awaited() {
+    for noise in [&b"\xff\xff noise"[..], b"\0", b"\x1b[2J", b"\0\0\0\0"] {
+        let test_bed = TestBed::start(1, |_| {});
+        let mut client = submit(&test_bed, "1", "place-hold", 3_000, &[0]);
+        let mut backend = accept(&test_bed.backends[0]);
+        let part = only_part(backend.next_parts());
+        let response = frame(b'q', &format!("{} good 0 util=0.5\n1840277719", part.id));
+        backend.send([&response[..], noise].concat());
+        let (status, body) = client.response().expect("a response");
+        assert!(status == 200 && body.contains("1840277719"), "{noise:?}: {status} {body}");
+    }
+}
