Reject ranges that are no objects where a command is split over endpoints

Cause: Command::split writes range["portion"] into each range before anything has checked that it is an object; serde_json panics on such an index where the value is a text, number, list or boolean.

Ruled out by reading: the other readers of a client's JSON use get; the other writing indices of the frontends are into objects made there.

Change: the portion is put into a copy of the range's fields, and a range without fields is the error that the command gets without endpoints. No index into a client's JSON is left that can panic.

--- a/crates/edge/src/front/flight/command.rs
+++ b/crates/edge/src/front/flight/command.rs
@@ -11,7 +11,7 @@
 
 use super::origin::Origin;
 use super::status::invalid_argument;
-use crate::front::query::{self, QueryMetadata};
+use crate::front::query::{self, QueryError, QueryMetadata};
 
 /// The default id of commands that are parsed but not submitted.
 pub const UNUSED_ID: &str = "x";
@@ -137,7 +137,8 @@
     /// an endpoint twice.
     ///
     /// # Errors
-    /// The number of endpoints is out of range, the query is not idempotent, or its id is too long.
+    /// The number of endpoints is out of range, the query is not idempotent, its id is too long, or one of its ranges is
+    /// no object.
     pub fn split(&self, core: &Core) -> Result<Vec<Command>, Status> {
         let endpoints = match self.fields.get("endpoints") {
             None | Some(Value::Null) => 1,
@@ -159,10 +160,9 @@
         let mut commands = Vec::new();
         for (index, chunk) in ranges.chunks(size).enumerate() {
             let sum: f64 = chunk.iter().map(portion).sum();
-            let mut scaled = chunk.to_vec();
-            for range in &mut scaled {
-                range["portion"] = json!(portion(range) / sum);
-            }
+            let scaled = chunk.iter().map(|range| with_portion(range, portion(range) / sum));
+            let scaled = scaled.collect::<Result<_, QueryError>>();
+            let scaled = scaled.map_err(|error| invalid_argument(error.to_string()))?;
             let id = format!("{}.{index}", self.id);
             if !query::is_valid_id(&id) {
                 return Err(invalid_argument("the id is too long to be split"));
@@ -176,3 +176,10 @@
         Ok(commands)
     }
 }
+
+/// Returns a range with this weight in place of its own.
+fn with_portion(range: &Value, portion: f64) -> Result<Value, QueryError> {
+    let mut fields = range.as_object().cloned().ok_or(QueryError::MissingRangeNumber)?;
+    fields.insert("portion".to_owned(), json!(portion));
+    Ok(Value::Object(fields))
+}
