Let a place-hold that is asked again over Flight join its run

Cause: FlightService::submit gave a query whose id is open in the core an id of its own. For a non-idempotent query the open one may be the same, and neither the core nor the register knows it under the new id.

Ruled out by reading: Core::coalesce and the register, which let the second client wait where the id is the same.

Change: a non-idempotent query keeps its id, so the core lets its client wait for the open run, whichever frontend or instance it came from, and rejects another query under the id with ALREADY_EXISTS. That is enough because all methods of Flight share submit, and a query that was taken over is open in the core as any other (a_client_joins_the_run_of_a_query_that_was_taken_over). An idempotent query, and one whose id another user's query has, get an id of their own as before.

--- a/crates/core/tests/client_disconnected.rs
+++ b/crates/core/tests/client_disconnected.rs
@@ -1,4 +1,4 @@
-//! Clients that disconnect while their queries are open.
+//! Clients that disconnect while their queries are open, and clients that ask for an open query again.
 
 mod common;
 
@@ -70,3 +70,21 @@
         assert_eq!((core.open_queries(), permit_requests(&mut core)), (0, 0));
     }
 }
+
+// Guards against a second execution by an instance that runs a query it has taken over: its client asks there again, over
+// Flight, under the same id.
+#[test]
+fn a_client_joins_the_run_of_a_query_that_was_taken_over() {
+    let mut core = core();
+    let taken_over = QueryRequest { retry: true, ..request("a") };
+    core.submit(START, ResponseHandle::TakenOver(1), taken_over.clone()).expect("the query is opened");
+    assert_eq!(permit_requests(&mut core), 1);
+    core.submit(START + SECOND, ResponseHandle::Flight(2), taken_over).expect("the query is coalesced");
+    assert_eq!((core.open_queries(), permit_requests(&mut core)), (1, 0));
+    let completed = core.run_batch(START + 7 * SECOND).into_iter().find_map(|action| match action {
+        Action::ReplicateOutcome(completed) => Some(completed),
+        _ => None,
+    });
+    let handles = completed.expect("an outcome at the deadline").response_handles;
+    assert_eq!(handles, [ResponseHandle::TakenOver(1), ResponseHandle::Flight(2)]);
+}
--- a/crates/edge/src/front/flight/status.rs
+++ b/crates/edge/src/front/flight/status.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 
 use mallowgauge_core::polled_queries::RejectReason;
-use mallowgauge_core::{Failure, QueryResponse};
+use mallowgauge_core::{Failure, QueryResponse, ValidationError};
 use mallowgauge_flight::grpc::{Code, Status};
 use mallowgauge_router::Micros;
 
@@ -42,6 +42,9 @@
             let code = if *not_executed { Code::Unavailable } else { Code::ResourceExhausted };
             Status::new(code, "refused").with_reason("REFUSED").with_retry_after(*retry_after)
         }
+        QueryResponse::Failed(Failure::Invalid(
+            error @ (ValidationError::IdInUse | ValidationError::IdInUseWithDifferentBody),
+        )) => Status::new(Code::AlreadyExists, error.message()).with_reason("ID_IN_USE"),
         QueryResponse::Failed(Failure::Invalid(error)) => Status::new(Code::InvalidArgument, error.message()),
         QueryResponse::Failed(Failure::PartsFailed) => Status::new(Code::Internal, "parts could not be had"),
         QueryResponse::Failed(Failure::MemoryExhausted) => {
--- a/crates/edge/src/front/flight/submission.rs
+++ b/crates/edge/src/front/flight/submission.rs
@@ -86,7 +86,7 @@
         let only_waiter = (!shared).then_some(waiter);
         self.runs.insert(run, ActiveRun { class: request.class, key: key.clone(), only_waiter });
         self.add_waiter(waiter, call, tag, &key);
-        let request = Self::with_unique_id(request, core);
+        let request = self.with_distinct_id(request, &key, core);
         match core.submit(now, ResponseHandle::Flight(run.0), request) {
             Ok(()) => SubmitResult::Pending(waiter),
             Err(response) => {
@@ -98,16 +98,25 @@
         }
     }
 
-    /// Replaces the id of a query if a query with that id is open. Backends distinguish queries by their ids, and a
-    /// ticket may be used twice at the same time.
-    fn with_unique_id(mut request: QueryRequest, core: &Core) -> QueryRequest {
-        if core.is_open(&request.id) {
+    /// Replaces the id of a query if another open query has it: backends distinguish queries by their ids.
+    ///
+    /// An idempotent query is another one each time, since a ticket may be used twice at the same time. A non-idempotent
+    /// one keeps its id, so that the core recognises the open query, whichever frontend or instance it came from: under
+    /// another id it would be executed again. Only the open query of another user is known to be another one.
+    fn with_distinct_id(&self, mut request: QueryRequest, key: &PolledQueryKey, core: &Core) -> QueryRequest {
+        let may_be_the_same = !core.is_idempotent(request.class) && !self.another_user_runs(key);
+        if core.is_open(&request.id) && !may_be_the_same {
             let prefix: String = request.id.chars().take(UNIQUE_ID_PREFIX_CHARS).collect();
             request.id = format!("{prefix}~{:08x}", u32::from_le_bytes(random_bytes())).into();
         }
         request
     }
 
+    /// Returns whether a query with this id runs for another user.
+    fn another_user_runs(&self, key: &PolledQueryKey) -> bool {
+        self.runs.values().any(|run| run.key.id == key.id && run.key.user != key.user)
+    }
+
     fn add_waiter(&mut self, waiter: WaiterId, call: u64, tag: &str, key: &PolledQueryKey) {
         let id = Rc::clone(&key.id);
         self.waiters.insert(waiter, OutcomeTarget { call, tag: tag.into(), id });
--- a/crates/mallowgauge/tests/leaving.rs
+++ b/crates/mallowgauge/tests/leaving.rs
@@ -1,16 +1,23 @@
 //! Three instances that take over each other's non-idempotent queries. The test plays the backend, or one of the
-//! instances. Covers a query in flight while its instance shuts down, and a peer that disconnects within its hello.
+//! instances. Covers a query in flight while its instance shuts down, one that is asked again over the other frontend, and
+//! a peer that disconnects within its hello.
 
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
 use mallowgauge_edge::peers::wire::{decode, encode, Frame};
+use mallowgauge_flight::grpc::frame;
+use mallowgauge_flight::proto::{FlightDescriptor, FlightInfo};
 use mallowgauge_testkit::manual_peers::{accept, accept_within, addr, listener, query, Connection};
+use mallowgauge_testkit::raw_http2::RawHttp2Client;
 use mallowgauge_testkit::{config, Program};
+use prost::Message;
 use serde_json::{json, Value};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// gRPC's status `ALREADY_EXISTS`.
+const ALREADY_EXISTS: u32 = 6;
 
 /// Starts three instances with one peer list and one backend. Queries have a deadline of at most 2 s.
 fn start_cluster(backend: &TcpListener, discovery: &TcpListener) -> Vec<Program> {
@@ -116,6 +123,42 @@
     assert_eq!(status, 502, "{body}");
 }
 
+/// Asks an instance for a non-idempotent query over Flight. Returns the connection and the stream of its response.
+fn ask_over_flight(program: &Program, id: &str, predicate: &str) -> (RawHttp2Client, u32) {
+    let mut raw = RawHttp2Client::connect(program.flight);
+    let command =
+        json!({"kind": "place-hold", "id": id, "ranges": [0], "predicate": predicate, "retry": true});
+    let descriptor = FlightDescriptor::command(command.to_string().into());
+    let reply = raw.call("GetFlightInfo", &[], &frame(&descriptor));
+    let info = FlightInfo::decode(reply.messages[0].as_slice()).expect("a FlightInfo");
+    let ticket = info.endpoint[0].ticket.clone().expect("a ticket");
+    let stream = raw.start_call("DoGet", &[("grpc-timeout", "2S")], &frame(&ticket));
+    (raw, stream)
+}
+
+// Guards against a second execution of a non-idempotent query whose client lost its connection over HTTP and asks the
+// same instance again over Flight, while the query is still in flight.
+#[test]
+fn query_asked_again_over_the_other_frontend_joins_its_run() {
+    let (backend, discovery) = (listener(), listener());
+    let programs = start_cluster(&backend, &discovery);
+    let (number, client, mut at_backend) = submit_until_admitted(&programs, &backend);
+    let parts = at_backend.next_parts();
+    client.reset();
+    let id = format!("hold-{number}");
+    // The same id with another text is another query, which is rejected.
+    let (mut raw, stream) = ask_over_flight(&programs[0], &id, "another");
+    assert_eq!(raw.read_reply(stream, true).status(), Some(ALREADY_EXISTS));
+    let (mut raw, stream) = ask_over_flight(&programs[0], &id, "c41e77d0");
+    // A second part would come on a connection of its own, or on this one.
+    assert!(accept_within(&backend, Duration::from_millis(300)).is_none(), "a second connection");
+    at_backend.answer_part(&parts[0], "good", "held");
+    let reply = raw.read_reply(stream, true);
+    assert_eq!(reply.status(), Some(0), "{reply:?}");
+    at_backend.0.set_read_timeout(Some(Duration::from_millis(300))).expect("set the read timeout");
+    assert!(at_backend.0.read(&mut [0; 1]).is_err(), "a second part, or the end of the connection");
+}
+
 // The test plays the third instance. Its hello is cut at each byte, by a close and by a reset; no peer may become suspect
 // and no other connection may end.
 #[test]
