Name the budget of batch streams for what it does: a memory budget with reservations

Change: core::batch_memory becomes core::memory_budget, its types MemoryBudget, Reservation and MemoryExhausted. Nothing else changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,8 +13,8 @@
 //!
 //! The other modules make separate decisions for the frontends and backend connections.
 
-pub mod batch_memory;
 pub mod connection_limits;
+pub mod memory_budget;
 pub mod polled_queries;
 pub mod query_stream;
 pub mod sessions;
--- a/crates/core/src/batch_memory.rs
+++ b/crates/core/src/memory_budget.rs
@@ -1,23 +1,25 @@
-//! The memory budget for batch streams: the dictionaries of all streams, and the text of their queries that were read and
-//! not started.
+//! A budget of memory that several holders share, each with a reservation.
+//!
+//! One budget is for batch streams: the dictionaries of all streams, and the text of their queries that were read and not
+//! started.
 //!
 //! Invariant: the sum of all reservations never exceeds the limit. A reservation is released when it is dropped.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// The budget is exhausted by all streams together.
+/// The budget is exhausted by all holders together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BatchMemoryExhausted;
+pub struct MemoryExhausted;
 
 /// The budget. Clones share it.
 #[derive(Clone, Debug)]
-pub struct BatchMemory {
+pub struct MemoryBudget {
     limit: usize,
     reserved: Rc<Cell<usize>>,
 }
 
-impl BatchMemory {
+impl MemoryBudget {
     /// Creates a budget of `limit` bytes with nothing reserved.
     #[must_use]
     pub fn new(limit: usize) -> Self {
@@ -26,8 +28,8 @@
 
     /// Returns a reservation of no bytes.
     #[must_use]
-    pub fn reservation(&self) -> BatchReservation {
-        BatchReservation { memory: self.clone(), bytes: 0 }
+    pub fn reservation(&self) -> Reservation {
+        Reservation { memory: self.clone(), bytes: 0 }
     }
 
     /// Returns the bytes that are reserved.
@@ -37,14 +39,14 @@
     }
 }
 
-/// What one stream has reserved.
+/// What one holder has reserved.
 #[derive(Debug)]
-pub struct BatchReservation {
-    memory: BatchMemory,
+pub struct Reservation {
+    memory: MemoryBudget,
     bytes: usize,
 }
 
-impl BatchReservation {
+impl Reservation {
     /// Returns the limit of all reservations together.
     #[must_use]
     pub fn limit(&self) -> usize {
@@ -61,9 +63,9 @@
     ///
     /// # Errors
     /// There are not as many bytes available; the reservation is unchanged.
-    pub fn resize(&mut self, bytes: usize) -> Result<(), BatchMemoryExhausted> {
+    pub fn resize(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
         if bytes > self.available() {
-            return Err(BatchMemoryExhausted);
+            return Err(MemoryExhausted);
         }
         self.memory.reserved.set(self.memory.reserved.get() - self.bytes + bytes);
         self.bytes = bytes;
@@ -71,7 +73,7 @@
     }
 }
 
-impl Drop for BatchReservation {
+impl Drop for Reservation {
     fn drop(&mut self) {
         self.memory.reserved.set(self.memory.reserved.get() - self.bytes);
     }
--- a/crates/core/tests/batch_memory.rs
+++ b/crates/core/tests/memory_budget.rs
@@ -1,6 +1,6 @@
-//! Random reservations from the budget for batch streams, checked against a model.
+//! Random reservations from a budget, checked against a model.
 
-use mallowgauge_core::batch_memory::{BatchMemory, BatchMemoryExhausted, BatchReservation};
+use mallowgauge_core::memory_budget::{MemoryBudget, MemoryExhausted, Reservation};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -11,8 +11,8 @@
 
     #[test]
     fn reservations_never_exceed_the_limit(steps in prop::collection::vec((0..6_usize, prop::option::of(0..60_usize)), 1..60)) {
-        let memory = BatchMemory::new(LIMIT);
-        let mut reservations: Vec<BatchReservation> = (0..6).map(|_| memory.reservation()).collect();
+        let memory = MemoryBudget::new(LIMIT);
+        let mut reservations: Vec<Reservation> = (0..6).map(|_| memory.reservation()).collect();
         let mut model = [0; 6];
         for (stream, bytes) in steps {
             let others = model.iter().sum::<usize>() - model[stream];
@@ -24,7 +24,7 @@
                     model[stream] = 0;
                 }
                 Some(bytes) if others + bytes > LIMIT => {
-                    prop_assert_eq!(reservations[stream].resize(bytes), Err(BatchMemoryExhausted));
+                    prop_assert_eq!(reservations[stream].resize(bytes), Err(MemoryExhausted));
                 }
                 Some(bytes) => {
                     prop_assert_eq!(reservations[stream].resize(bytes), Ok(()));
--- a/crates/edge/src/front/flight/batch_stream.rs
+++ b/crates/edge/src/front/flight/batch_stream.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use mallowgauge_core::batch_memory::{BatchMemory, BatchMemoryExhausted, BatchReservation};
+use mallowgauge_core::memory_budget::{MemoryBudget, MemoryExhausted, Reservation};
 use mallowgauge_core::polled_queries::WaiterId;
 use mallowgauge_core::query_stream::{QueryStream, QueryStreamLimits, QueryStreamPhase};
 use mallowgauge_core::stream_admission::StreamLimits;
@@ -70,12 +70,12 @@
     received_schema: Bytes,
     next_row: u64,
     /// Memory for the dictionaries in `columns` and the texts in `queue`.
-    memory: BatchReservation,
+    memory: Reservation,
 }
 
 impl BatchStream {
     /// Creates a stream on which nothing has been received.
-    pub fn new(kind: BatchKind, limits: &StreamLimits, memory: &BatchMemory) -> Self {
+    pub fn new(kind: BatchKind, limits: &StreamLimits, memory: &MemoryBudget) -> Self {
         Self {
             kind,
             batch: QueryStream::new(QueryStreamLimits {
@@ -207,7 +207,7 @@
         if dictionaries > MAX_DICTIONARY_BYTES {
             return Err(invalid_argument("dictionaries that are too large"));
         }
-        self.memory.resize(dictionaries).map_err(|BatchMemoryExhausted| batch_memory_exhausted())?;
+        self.memory.resize(dictionaries).map_err(|MemoryExhausted| batch_memory_exhausted())?;
         let Some(rows) = rows else { return Ok(()) };
         if rows > MAX_BATCH_ROWS {
             return Err(invalid_argument("too many rows in one batch"));
@@ -220,9 +220,7 @@
             error => invalid_argument(format!("the rows: {error}")),
         })?;
         let text_bytes: usize = queries.iter().map(Bytes::len).sum();
-        self.memory
-            .resize(dictionaries + text_bytes)
-            .map_err(|BatchMemoryExhausted| batch_memory_exhausted())?;
+        self.memory.resize(dictionaries + text_bytes).map_err(|MemoryExhausted| batch_memory_exhausted())?;
         for text in queries {
             let tag = self.next_row.to_string();
             self.next_row += 1;
--- a/crates/edge/src/front/flight/mod.rs
+++ b/crates/edge/src/front/flight/mod.rs
@@ -12,7 +12,8 @@
 //! | `service` | the state that all calls share |
 //!
 //! Decisions are taken in `mallowgauge_core`: admission of connections and calls (`stream_admission`), the state of
-//! tickets and polled queries (`polled_queries`), how much batch streams may keep (`batch_memory`), when a batch stream may read and start queries (`query_stream`), and
+//! tickets and polled queries (`polled_queries`), how much batch streams may keep (`memory_budget`), when a batch stream may read and start queries
+//! (`query_stream`), and
 //! which sessions are kept (`sessions`).
 
 mod auth;
@@ -36,7 +37,7 @@
 use std::rc::Rc;
 
 use h2::server;
-use mallowgauge_core::batch_memory::BatchMemory;
+use mallowgauge_core::memory_budget::MemoryBudget;
 use mallowgauge_core::polled_queries::{self, PolledQueries, RunId};
 use mallowgauge_core::sessions::Sessions;
 use mallowgauge_core::stream_admission::{StreamAdmission, StreamLimits, CONNECTION_WINDOW};
@@ -108,7 +109,7 @@
         let service = FlightService {
             admission: StreamAdmission::new(*limits),
             polled_queries: PolledQueries::new(query_limits),
-            batch_memory: BatchMemory::new(limits.batch_bytes),
+            batch_memory: MemoryBudget::new(limits.batch_bytes),
             runs: BTreeMap::new(),
             waiters: BTreeMap::new(),
             sessions: Sessions::new(limits.sessions, SESSION_IDLE_TIME),
--- a/crates/edge/src/front/flight/service.rs
+++ b/crates/edge/src/front/flight/service.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use mallowgauge_core::batch_memory::BatchMemory;
+use mallowgauge_core::memory_budget::MemoryBudget;
 use mallowgauge_core::polled_queries::{PolledQueries, RunId, WaiterId};
 use mallowgauge_core::sessions::{SessionId, Sessions};
 use mallowgauge_core::stream_admission::StreamAdmission;
@@ -53,7 +53,7 @@
     /// Queries that several calls may share: polled ones, and those that must be run once only.
     pub polled_queries: PolledQueries<Rc<QueryResponse>>,
     /// The memory of batch streams.
-    pub batch_memory: BatchMemory,
+    pub batch_memory: MemoryBudget,
     /// Queries submitted to the core.
     pub runs: BTreeMap<RunId, ActiveRun>,
     /// The call behind each waiter.
