Limit together what HTTP clients buffer and open queries keep, before it is read

Cause: the number of connections was limited by their input alone. The text of an open query, its values, its unread response, the fields of a head and buffers that grow by doubling were counted nowhere; and backends were read until their sockets blocked, before their values were counted.

Ruled out: a leak, backends' buffers.

Change: core::client_memory holds one budget for both, five sixteenths of the memory (beside Flight of its half), asked before anything is read or kept; small requests need none of it. Without memory input stays unread; requests, queries and values that find none are refused or fail. Sockets are read into one buffer. A backend's turn is bounded, and none is read while 256 KB of texts wait to be counted. That is enough because nothing that a client can make large is outside the budget.

--- a/crates/core/src/connection_limits.rs
+++ b/crates/core/src/connection_limits.rs
@@ -39,6 +39,9 @@
     pub backend_bytes: usize,
     /// Maximum connections of the HTTP frontend's clients, before the share of another frontend is subtracted.
     pub clients: usize,
+    /// Maximum bytes in the buffers of the HTTP frontend's clients and of open queries together, beyond their
+    /// allowances.
+    pub client_bytes: usize,
 }
 
 impl ConnectionLimits {
@@ -53,8 +56,10 @@
         let wanted = resources.backends + resources.backends / 4;
         let backends = wanted.clamp(descriptors / 4, descriptors * 5 / 8).max(1);
         let clients_by_memory = resources.memory / 2 / resources.bytes_per_client.max(1);
+        // The rest of the clients' half is for their uncounted allowances.
+        let client_bytes = resources.memory / 16 * 5;
         let clients = (descriptors - backends.min(descriptors)).min(clients_by_memory).max(1);
-        Self { backends, backend_bytes: resources.memory / 4, clients }
+        Self { backends, backend_bytes: resources.memory / 4, clients, client_bytes }
     }
 }
 
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::attempts::InFlightAttempts;
+use crate::client_memory::ClientMemory;
 use crate::open_queries::{all_handles, OpenQueries, OpenQuery};
 use crate::planned_queries::{PlanClass, TwoPhase, TwoPhaseSettings};
 use crate::query::{Action, AttemptId, CompletedQuery, Failure, QueryRequest, QueryResponse, ResponseHandle};
@@ -83,6 +84,7 @@
     /// outcome.
     pub(crate) permits_required: bool,
     pub(crate) limits: CoreLimits,
+    pub(crate) client_memory: ClientMemory,
     layout: ShardLayout,
     batch_interval: Micros,
     /// The latest time at which new queries are answered.
@@ -117,6 +119,7 @@
             cancellation: settings.limits.cancellation,
             permits_required: false,
             limits,
+            client_memory: ClientMemory::default(),
             layout: settings.layout.clone(),
             batch_interval: settings.batch_interval,
             answer_deadline: None,
@@ -145,6 +148,11 @@
         self.permits_required = true;
     }
 
+    /// Limits the memory of open queries: their requests, and the texts received for them.
+    pub fn limit_client_memory(&mut self, memory: ClientMemory) {
+        self.client_memory = memory;
+    }
+
     /// Sets the latest time at which queries submitted from now on are answered, because the process may be
     /// killed soon after.
     pub fn set_answer_deadline(&mut self, by: Option<Micros>) {
@@ -298,7 +306,7 @@
         open.map(OpenQuery::into_response_handles).unwrap_or_default()
     }
 
-    /// Evicts a query from the exhausted table memory: it is rejected if a retry is safe, and fails
+    /// Evicts a query from exhausted memory: it is rejected if a retry is safe, and fails
     /// otherwise.
     pub fn memory_limit_exceeded(&mut self, query: TableQueryId) {
         let query = QueryId(query.0);
@@ -317,6 +325,13 @@
     /// Handles the end of an attempt. One that is no longer in flight is ignored.
     pub fn attempt_completed(&mut self, now: Micros, id: AttemptId, outcome: Outcome, value: Option<Value>) {
         let Some(attempt) = self.attempts.remove(id) else { return };
+        let (outcome, value) = match value {
+            Some(value) if !self.reserve_value(attempt.query, &value) => {
+                self.memory_limit_exceeded(TableQueryId(attempt.query.0));
+                (Outcome::Cancelled, None)
+            }
+            value => (outcome, value),
+        };
         let outcome = self.record_outcome(now, attempt.query, id.part, outcome, value);
         if !self.cancellation && outcome == Outcome::Succeeded {
             self.revoke_unsent(id.part);
@@ -330,6 +345,12 @@
         });
     }
 
+    /// Reserves the memory of a text received for a query; `false` if there is none. Tables have their own memory.
+    fn reserve_value(&mut self, query: QueryId, value: &Value) -> bool {
+        let (Value::Text(text), Some(open)) = (value, self.open.get_mut(query)) else { return true };
+        open.memory.grow(text.len()).is_ok()
+    }
+
     /// Records an attempt's outcome and value. Returns the outcome, or a backend error if the value is
     /// malformed.
     fn record_outcome(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //!
 //! The other modules make separate decisions for the frontends and backend connections.
 
+pub mod client_memory;
 pub mod connection_limits;
 pub mod memory_budget;
 pub mod polled_queries;
--- a/crates/core/src/memory_budget.rs
+++ b/crates/core/src/memory_budget.rs
@@ -32,6 +32,12 @@
         Reservation { memory: self.clone(), bytes: 0 }
     }
 
+    /// Returns the limit of all reservations together, in bytes.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Returns the bytes that are reserved.
     #[must_use]
     pub fn reserved(&self) -> usize {
--- a/crates/core/src/open_queries.rs
+++ b/crates/core/src/open_queries.rs
@@ -9,6 +9,7 @@
 
 use mallowgauge_router::{Micros, PartId, QueryId, ShardId};
 
+use crate::client_memory::ClientMemoryUse;
 use crate::query::{PartRequest, QueryRequest, ResponseHandle};
 use crate::two_phase::Plan;
 use crate::value::Value;
@@ -55,11 +56,18 @@
     /// Number of attempts of all parts that may have been executed.
     pub(crate) possibly_executed_attempts: u32,
     pub(crate) plan: Option<Box<Plan>>,
+    /// The memory of the request and of the texts received.
+    pub(crate) memory: ClientMemoryUse,
 }
 
 impl OpenQuery {
     /// Creates a query of which nothing was sent.
-    pub(crate) fn new(response_handle: ResponseHandle, request: QueryRequest, deadline: Micros) -> Self {
+    pub(crate) fn new(
+        response_handle: ResponseHandle,
+        request: QueryRequest,
+        deadline: Micros,
+        memory: ClientMemoryUse,
+    ) -> Self {
         Self {
             response_handle,
             coalesced_waiters: Vec::new(),
@@ -68,6 +76,7 @@
             parts: Vec::new(),
             possibly_executed_attempts: 0,
             plan: None,
+            memory,
         }
     }
 
--- a/crates/core/src/query.rs
+++ b/crates/core/src/query.rs
@@ -39,6 +39,15 @@
     pub plan: Option<PlanRequest>,
 }
 
+impl QueryRequest {
+    /// Returns the bytes of its texts and parts.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let scout = self.plan.as_ref().map_or(0, |plan| plan.scout.len());
+        self.body.len() + scout + self.parts.len() * size_of::<PartRequest>()
+    }
+}
+
 /// The two-phase plan of a query, as decoded by a frontend.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlanRequest {
--- a/crates/core/src/submission.rs
+++ b/crates/core/src/submission.rs
@@ -2,6 +2,7 @@
 
 use mallowgauge_router::{Event, Micros, PartArrival, PartId, QueryArrival, QueryId};
 
+use crate::client_memory::ClientMemoryUse;
 use crate::core::Core;
 use crate::open_queries::{OpenQuery, PartKind};
 use crate::query::{Action, CompletedQuery, Failure, QueryRequest, QueryResponse, ResponseHandle};
@@ -32,7 +33,8 @@
         }
         let time_to_respond = self.answer_deadline.map_or(Micros::MAX, |by| by.saturating_sub(now));
         request.expires_in = request.expires_in.min(time_to_respond);
-        if time_to_respond == 0 || self.is_full(&request) {
+        let mut memory = self.client_memory.query();
+        if time_to_respond == 0 || self.is_full(&request) || memory.resize(request.bytes()).is_err() {
             return self.reject_unopened(now, handle, request);
         }
         if let Some(plan) = &request.plan {
@@ -41,7 +43,7 @@
             }
             validate_plan(&plan.spec)?;
         }
-        self.open_query(now, handle, request);
+        self.open_query(now, handle, request, memory);
         Ok(())
     }
 
@@ -95,7 +97,13 @@
         Ok(())
     }
 
-    fn open_query(&mut self, now: Micros, handle: ResponseHandle, request: QueryRequest) {
+    fn open_query(
+        &mut self,
+        now: Micros,
+        handle: ResponseHandle,
+        request: QueryRequest,
+        memory: ClientMemoryUse,
+    ) {
         let query = QueryId(self.next_query_id());
         let planned = request.plan.is_some();
         self.events.push(Event::QueryArrived(QueryArrival {
@@ -108,7 +116,7 @@
         }));
         let parts = request.parts.len();
         let deadline = now.saturating_add(request.expires_in);
-        self.open.insert(query, OpenQuery::new(handle, request, deadline));
+        self.open.insert(query, OpenQuery::new(handle, request, deadline, memory));
         if planned {
             self.start_plan(now, query);
         } else {
--- a/crates/edge/src/front/http.rs
+++ b/crates/edge/src/front/http.rs
@@ -2,17 +2,19 @@
 //! connection to close when the connection limit is reached.
 
 mod connection;
+mod input_reader;
 mod routes;
 
 use std::collections::BTreeMap;
 use std::net::TcpStream;
 
+use mallowgauge_core::client_memory::ClientMemory;
 use mallowgauge_core::{Core, QueryResponse, ResponseHandle};
 use mallowgauge_net::{Handle, Stream};
 use mallowgauge_router::Micros;
 
 use self::connection::{Connection, Progress, State};
-use crate::front::http1::MessageError;
+use self::input_reader::InputReader;
 use crate::lifecycle::Phase;
 use crate::token::SocketKind;
 
@@ -49,15 +51,18 @@
     phase: Phase,
     /// Connections whose sockets may have more input.
     more_to_read: Vec<u64>,
+    /// Connections whose requests are unread for lack of memory.
+    awaiting_memory: Vec<u64>,
+    reader: InputReader,
     /// Requests so far that got a 4xx status.
     malformed_requests: u64,
 }
 
 impl HttpFrontend {
     /// Creates a frontend for at most `max_connections` connections, which makes at most `text_bytes_per_query` bytes of
-    /// text from the tables of one query.
+    /// text from the tables of one query. The connections' buffers are reserved from `memory`.
     #[must_use]
-    pub fn new(max_connections: usize, text_bytes_per_query: usize) -> Self {
+    pub fn new(max_connections: usize, text_bytes_per_query: usize, memory: ClientMemory) -> Self {
         Self {
             text_bytes_per_query,
             connections: BTreeMap::new(),
@@ -65,6 +70,8 @@
             max_connections,
             phase: Phase::Starting,
             more_to_read: Vec::new(),
+            awaiting_memory: Vec::new(),
+            reader: InputReader::new(memory),
             malformed_requests: 0,
         }
     }
@@ -137,7 +144,9 @@
         let id = self.next_id;
         self.next_id += 1;
         match Stream::from_accepted(handle, socket, SocketKind::HttpClient.token(id)) {
-            Ok(stream) => _ = self.connections.insert(id, Connection::new(stream, now)),
+            Ok(stream) => {
+                self.connections.insert(id, Connection::new(stream, now, self.reader.account()));
+            }
             Err(error) => tracing::warn!("accepted client connection failed: {error}"),
         }
     }
@@ -145,13 +154,14 @@
     /// Handles readiness of a connection's socket.
     pub fn handle_ready(&mut self, now: Micros, id: u64, core: &mut Core) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        let progress = connection.handle_ready(now, id, core, self.phase);
+        let progress = connection.handle_ready(now, id, &mut self.reader, core, self.phase);
         let malformed_requests = std::mem::take(&mut connection.malformed_requests);
         let awaits_response = matches!(connection.state, State::AwaitingResponse);
         self.count_malformed_requests(malformed_requests.count, malformed_requests.last_status);
         match progress {
             Progress::Blocked => {}
             Progress::MoreToRead => self.more_to_read.push(id),
+            Progress::AwaitingMemory => self.awaiting_memory.push(id),
             Progress::Closed => {
                 if awaits_response {
                     core.client_disconnected(ResponseHandle::Http(id));
@@ -197,7 +207,8 @@
     /// Returns when the first client timeout is due; 0 if there is more input to read.
     #[must_use]
     pub fn poll_timeout(&self) -> Option<Micros> {
-        if !self.more_to_read.is_empty() {
+        let memory_freed = !self.awaiting_memory.is_empty() && self.reader.may_read_requests();
+        if !self.more_to_read.is_empty() || memory_freed {
             return Some(0);
         }
         self.connections.values().filter_map(|connection| connection.deadline(self.phase)).min()
@@ -209,6 +220,11 @@
         for id in std::mem::take(&mut self.more_to_read) {
             self.handle_ready(now, id, core);
         }
+        if self.reader.may_read_requests() {
+            for id in std::mem::take(&mut self.awaiting_memory) {
+                self.handle_ready(now, id, core);
+            }
+        }
         let phase = self.phase;
         let overdue = self.connections.iter().filter(|(_, connection)| connection.is_overdue(now, phase));
         let overdue: Vec<u64> = overdue.map(|(&id, _)| id).collect();
@@ -221,7 +237,7 @@
             if connection.is_idle() {
                 self.linger(now, id, core);
             } else if connection.request_started && !connection.has_output() {
-                connection.reject_input(now, MessageError::RequestTimeout);
+                connection.reject_input(now, connection.timeout_error());
                 self.handle_ready(now, id, core);
             } else {
                 self.connections.remove(&id);
--- a/crates/edge/src/front/http/connection.rs
+++ b/crates/edge/src/front/http/connection.rs
@@ -1,13 +1,16 @@
 //! One connection of an HTTP client. Requests are handled one after the other: each is answered before the next is
 //! read.
 //!
-//! Every wait for the client is bounded, see [`Connection::deadline`].
+//! Every wait for the client is bounded, see [`Connection::deadline`]. What a connection buffers is reserved from the
+//! memory of all clients before it is read; without memory the input stays unread.
 
+use mallowgauge_core::client_memory::{ClientMemoryUse, InputUse};
 use mallowgauge_core::{Core, QueryResponse, ResponseHandle};
 use mallowgauge_net::{ReadEnd, Stream};
 use mallowgauge_router::Micros;
 
-use super::routes::{error_body, render, route, Reply, HEALTH_PATH};
+use super::input_reader::InputReader;
+use super::routes::{error_body, no_room, render, route, Reply, HEALTH_PATH};
 use crate::front::http1::{self, BodyReader, MessageError, RequestHead};
 use crate::lifecycle::Phase;
 
@@ -34,6 +37,8 @@
 const LINGER_BYTES: usize = 256 * 1024;
 /// How long to wait for a first request in [`Phase::Finishing`], in microseconds.
 const FIRST_REQUEST_TIMEOUT_FINISHING: Micros = 250_000;
+/// Responses up to this size are queued though there is no memory, in bytes: they say what has become of a request.
+const MAX_UNRESERVED_RESPONSE: usize = 1024;
 /// Consecutive reads from one client before other connections are served.
 const MAX_CONSECUTIVE_READS: usize = 16;
 
@@ -58,6 +63,8 @@
     Blocked,
     /// There may be more input; other connections are served first.
     MoreToRead,
+    /// There is no memory for more of the request.
+    AwaitingMemory,
     /// The connection has ended.
     Closed,
 }
@@ -82,6 +89,10 @@
     stream: Stream,
     input: Vec<u8>,
     output: Vec<u8>,
+    /// The memory of all buffers.
+    memory: ClientMemoryUse,
+    /// Whether the rest of a request is unread for lack of memory.
+    awaits_memory: bool,
     /// The connection closes after the current response.
     close: bool,
     /// How many more bytes after the last response are read and dropped.
@@ -89,7 +100,7 @@
 }
 
 impl Connection {
-    pub(super) fn new(stream: Stream, now: Micros) -> Self {
+    pub(super) fn new(stream: Stream, now: Micros, memory: ClientMemoryUse) -> Self {
         Self {
             state: State::Idle,
             is_new: true,
@@ -99,6 +110,8 @@
             stream,
             input: Vec::new(),
             output: Vec::new(),
+            memory,
+            awaits_memory: false,
             close: false,
             linger_bytes: LINGER_BYTES,
         }
@@ -159,15 +172,28 @@
     }
 
     /// Reads and writes until the socket blocks, with at most [`MAX_CONSECUTIVE_READS`] reads.
-    pub(super) fn handle_ready(&mut self, now: Micros, id: u64, core: &mut Core, phase: Phase) -> Progress {
+    pub(super) fn handle_ready(
+        &mut self,
+        now: Micros,
+        id: u64,
+        reader: &mut InputReader,
+        core: &mut Core,
+        phase: Phase,
+    ) -> Progress {
+        self.awaits_memory = false;
         for _ in 0..MAX_CONSECUTIVE_READS {
             if !self.flush(now) {
                 return Progress::Closed;
             }
             let awaits_response = matches!(self.state, State::AwaitingResponse);
-            let limit = if awaits_response { MAX_PIPELINED_INPUT } else { MAX_INPUT };
-            let end = self.stream.read(&mut self.input, limit);
-            if awaits_response && end == ReadEnd::Full {
+            let (limit, input_use) = match awaits_response {
+                true => (MAX_PIPELINED_INPUT, InputUse::ReadAhead),
+                false => (MAX_INPUT, InputUse::Request),
+            };
+            let Some(end) = reader.read(&self.stream, &mut self.input, limit, input_use, &self.memory) else {
+                return self.memory_exhausted();
+            };
+            if awaits_response && self.input.len() >= limit {
                 core.client_disconnected(ResponseHandle::Http(id));
                 self.reject_input(now, MessageError::TooMuchPipelinedInput);
                 continue;
@@ -176,13 +202,43 @@
             if end.is_over() {
                 return Progress::Closed;
             }
-            if end == ReadEnd::Blocked || !consumed {
+            if end == ReadEnd::Blocked || (!consumed && self.input.len() >= limit) {
                 return Progress::Blocked;
             }
         }
         Progress::MoreToRead
     }
 
+    /// Leaves the input unread. That a client has left behind it is known once the kernel has received all of it.
+    fn memory_exhausted(&mut self) -> Progress {
+        if self.stream.is_closed_by_peer() {
+            return Progress::Closed;
+        }
+        if matches!(self.state, State::AwaitingResponse) {
+            // It is read on once the response is queued.
+            return Progress::Blocked;
+        }
+        self.awaits_memory = true;
+        Progress::AwaitingMemory
+    }
+
+    /// Why a request that has not been received in time is rejected.
+    pub(super) fn timeout_error(&self) -> MessageError {
+        match self.awaits_memory {
+            true => MessageError::MemoryExhausted,
+            false => MessageError::RequestTimeout,
+        }
+    }
+
+    /// Returns the bytes in all buffers.
+    fn buffered_bytes(&self) -> usize {
+        let request = match &self.state {
+            State::ReadingBody(head, body) => head.bytes() + body.bytes(),
+            State::Idle | State::AwaitingResponse | State::Closing | State::Lingering => 0,
+        };
+        self.input.len() + request + self.output.len()
+    }
+
     /// Processes the buffered input. Returns whether any of it was consumed, or `None` when the connection has ended.
     fn handle_input(&mut self, now: Micros, id: u64, core: &mut Core, phase: Phase) -> Option<bool> {
         let length = self.input.len();
@@ -211,6 +267,12 @@
             // Idle connections hold no buffers.
             self.input = Vec::new();
         }
+        self.input.shrink_to_fit();
+        let receives_request = matches!(self.state, State::Idle | State::ReadingBody(..));
+        if self.memory.resize(self.buffered_bytes()).is_err() && receives_request && !self.has_output() {
+            // The parsed head takes more than its bytes on the wire.
+            self.reject_input(now, MessageError::MemoryExhausted);
+        }
         Some(consumed)
     }
 
@@ -273,7 +335,14 @@
     fn reply(&mut self, now: Micros, reply: &Reply, phase: Phase) {
         self.count_malformed_request(reply.status);
         let close = self.close || phase == Phase::Finishing;
-        self.output.extend(http1::encode_response(reply.status, &reply.headers, &reply.body, close));
+        let mut response = http1::encode_response(reply.status, &reply.headers, &reply.body, close);
+        let fits = self.memory.resize(self.buffered_bytes() + response.len()).is_ok();
+        if !fits && response.len() > MAX_UNRESERVED_RESPONSE {
+            let no_room = no_room();
+            response = http1::encode_response(no_room.status, &no_room.headers, &no_room.body, close);
+        }
+        response.shrink_to_fit();
+        self.output.append(&mut response);
         self.state = if close { State::Closing } else { State::Idle };
         self.waiting_since = now;
     }
--- a/crates/edge/src/front/http/routes.rs
+++ b/crates/edge/src/front/http/routes.rs
@@ -126,7 +126,7 @@
 
 fn render_values(complete: bool, values: &[(ShardId, core::Value)], max_text: usize) -> Reply {
     let error = match query::write_values(complete, values, max_text) {
-        Ok(body) => return Reply::new(200, body.to_string()),
+        Ok(body) => return Reply::new(200, body),
         Err(error) => error,
     };
     tracing::warn!("response could not be encoded: {error}");
@@ -136,6 +136,7 @@
     }
 }
 
-fn no_room() -> Reply {
+/// The response in place of one for which there is no memory.
+pub(super) fn no_room() -> Reply {
     Reply::error(502, "the tables found no room")
 }
--- a/crates/edge/src/front/http1.rs
+++ b/crates/edge/src/front/http1.rs
@@ -8,6 +8,8 @@
 pub const MAX_REQUEST_BODY_BYTES: usize = 64 * 1024;
 /// Maximum number of a message's header lines.
 const MAX_HEADERS: usize = 64;
+/// A body's buffer grows in steps of this many bytes.
+const BUFFER_STEP_BYTES: usize = 4 * 1024;
 /// Maximum length of a chunk-size line and of a trailer line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
 
@@ -45,6 +47,9 @@
     /// The client sent too much input while it waited for a response.
     #[error("too much came ahead of an answer")]
     TooMuchPipelinedInput,
+    /// There was no memory to receive the request.
+    #[error("refused")]
+    MemoryExhausted,
 }
 
 impl MessageError {
@@ -61,6 +66,7 @@
             Self::RequestTimeout => 408,
             Self::BodyTooLarge | Self::TooMuchPipelinedInput => 413,
             Self::HeadTooLarge => 431,
+            Self::MemoryExhausted => 503,
         }
     }
 }
@@ -81,6 +87,14 @@
 }
 
 impl RequestHead {
+    /// Returns about how many bytes the head takes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let headers =
+            self.headers.iter().map(|(name, value)| HEADER_OVERHEAD_BYTES + name.len() + value.len());
+        self.method.len() + self.path.len() + headers.sum::<usize>()
+    }
+
     /// Returns the value of a header; `None` if it is absent or given more than once.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
@@ -90,6 +104,9 @@
     }
 }
 
+/// Bytes of a header line beside its name and value: two strings, each with an allocation of its own.
+const HEADER_OVERHEAD_BYTES: usize = 2 * (size_of::<String>() + 16);
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
@@ -155,6 +172,12 @@
         Ok(complete?.then(|| std::mem::take(&mut self.data)))
     }
 
+    /// Returns the bytes received of the body.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.data.len()
+    }
+
     /// Continues reading at `input[*used..]`; `true` once the body is complete.
     fn advance(&mut self, input: &[u8], used: &mut usize) -> Result<bool, MessageError> {
         loop {
@@ -185,6 +208,8 @@
     /// Consumes bytes of the body, and returns their number.
     fn take_data(&mut self, input: &[u8]) -> usize {
         let length = self.remaining.min(input.len());
+        let capacity = (self.data.len() + length).next_multiple_of(BUFFER_STEP_BYTES);
+        self.data.reserve_exact(capacity - self.data.len());
         self.data.extend_from_slice(&input[..length]);
         self.remaining -= length;
         length
@@ -380,6 +405,8 @@
         out.push_str(&format!("{name}: {value}\r\n"));
     }
     let last = if close { "Connection: close\r\n" } else { "" };
-    out.push_str(&format!("Content-Length: {}\r\n{last}\r\n{body}", body.len()));
+    out.push_str(&format!("Content-Length: {}\r\n{last}\r\n", body.len()));
+    out.reserve_exact(body.len());
+    out.push_str(body);
     out.into_bytes()
 }
--- a/crates/edge/src/front/query.rs
+++ b/crates/edge/src/front/query.rs
@@ -1,7 +1,9 @@
 //! JSON bodies of queries and responses, shared by both frontends.
 
+use std::borrow::Cow;
 use std::rc::Rc;
 
+use serde::Serialize;
 use serde_json::{json, Value};
 
 use mallowgauge_core as core;
@@ -171,6 +173,23 @@
     body
 }
 
+/// The response body of a query. Clients see the fields in this order.
+#[derive(Serialize)]
+struct Answers<'a> {
+    answers: Vec<Answer<'a>>,
+    total: bool,
+}
+
+/// The value of a part.
+#[derive(Serialize)]
+struct Answer<'a> {
+    blob: Cow<'a, str>,
+    range: u32,
+}
+
+/// Bytes of an answer beside its text.
+const ANSWER_OVERHEAD_BYTES: usize = 64;
+
 /// Returns the response body of a query. A table from a backend becomes a JSON text: the list of its rows. The texts of
 /// all tables have at most `max_text` bytes.
 ///
@@ -180,19 +199,24 @@
     complete: bool,
     values: &[(ShardId, core::Value)],
     max_text: usize,
-) -> Result<Value, JsonError> {
+) -> Result<String, JsonError> {
     let mut remaining = max_text;
+    let mut body_bytes = ANSWER_OVERHEAD_BYTES;
     let mut answers = Vec::with_capacity(values.len());
     for (shard, value) in values {
         let blob = match value {
-            core::Value::Text(text) => Value::from(&**text),
+            core::Value::Text(text) => Cow::Borrowed(&**text),
             core::Value::Table(table) => {
                 let text = rows::to_json(&table.schema, &table.messages, remaining)?;
                 remaining = remaining.saturating_sub(text.len());
-                Value::from(text)
+                Cow::Owned(text)
             }
         };
-        answers.push(json!({"range": shard.0, "blob": blob}));
+        body_bytes += ANSWER_OVERHEAD_BYTES + blob.len();
+        answers.push(Answer { blob, range: shard.0 });
     }
-    Ok(json!({"total": complete, "answers": answers}))
+    let mut body = Vec::with_capacity(body_bytes);
+    let written = serde_json::to_writer(&mut body, &Answers { answers, total: complete });
+    written.map_err(|error| JsonError::Unreadable(error.to_string()))?;
+    String::from_utf8(body).map_err(|error| JsonError::Unreadable(error.to_string()))
 }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -16,6 +16,7 @@
 
 use calloop::signals::{Signal, Signals};
 use calloop::EventLoop;
+use mallowgauge_core::client_memory::ClientMemory;
 use mallowgauge_core::table_memory::{TableMemory, TableMemoryLimits};
 use mallowgauge_core::Core;
 use mallowgauge_net::{Clock, Handle};
@@ -136,7 +137,9 @@
         let zones = config.site.zones.clone();
         let classes = config.site.classes.len();
         let longest_deadline = config.site.settings.classes.iter().map(|class| class.deadline).max();
-        let (core, pushed) = build_core(&config)?;
+        let client_memory = ClientMemory::new(limits.connections.client_bytes);
+        let (mut core, pushed) = build_core(&config)?;
+        core.limit_client_memory(client_memory.clone());
         let listeners = Listeners::bind(&handle, config.listen, config.flight.listen)?;
         let flight_options = FlightOptions {
             table_memory: TableMemory::new(TableMemoryLimits {
@@ -157,7 +160,11 @@
             lifecycle: Lifecycle::new(longest_deadline.unwrap_or_default()),
             core,
             listeners,
-            http: http::HttpFrontend::new(limits.connections.clients, limits.flight.text_bytes_per_query),
+            http: http::HttpFrontend::new(
+                limits.connections.clients,
+                limits.flight.text_bytes_per_query,
+                client_memory,
+            ),
             flight: flight::FlightFrontend::new(&setup)?,
             pool: ConnectionPool::new(
                 config.connections,
--- a/crates/edge/src/upstream/connection.rs
+++ b/crates/edge/src/upstream/connection.rs
@@ -40,6 +40,9 @@
     /// Time of the last traffic in either direction.
     fn last_used(&self) -> Micros;
 
+    /// Whether reading was stopped before the socket blocked: its readiness is not reported again.
+    fn has_more_to_read(&self) -> bool;
+
     /// Bytes in its buffers; 0 if they are accounted as table memory.
     fn buffered_bytes(&self) -> usize;
 
@@ -66,7 +69,7 @@
     /// Starts a health check, which fails if there is no response by `deadline`.
     fn health_check(&mut self, now: Micros, deadline: Micros, events: &mut Vec<UpstreamEvent>) -> bool;
 
-    /// Reads and writes until the socket would block.
+    /// Reads and writes until the socket would block, or until other connections have to be served.
     fn handle_ready(&mut self, now: Micros, events: &mut Vec<UpstreamEvent>) -> bool;
 
     /// Ends whatever has timed out, and the connection if it has been idle for `idle_timeout` microseconds.
@@ -119,6 +122,10 @@
         dispatch!(self, connection => connection.last_used())
     }
 
+    fn has_more_to_read(&self) -> bool {
+        dispatch!(self, connection => connection.has_more_to_read())
+    }
+
     fn buffered_bytes(&self) -> usize {
         dispatch!(self, connection => connection.buffered_bytes())
     }
--- a/crates/edge/src/upstream/flight_connection.rs
+++ b/crates/edge/src/upstream/flight_connection.rs
@@ -126,6 +126,10 @@
         self.last_used
     }
 
+    fn has_more_to_read(&self) -> bool {
+        false
+    }
+
     /// Its buffers are accounted as table memory.
     fn buffered_bytes(&self) -> usize {
         0
--- a/crates/edge/src/upstream/frame_connection.rs
+++ b/crates/edge/src/upstream/frame_connection.rs
@@ -22,6 +22,8 @@
 const CANCELLED_PART_RETENTION: Micros = 1_000_000;
 /// Number of the last answered parts that a connection keeps, to recognise duplicate responses.
 const MAX_REMEMBERED_PARTS: usize = 64;
+/// Consecutive reads from one backend before other connections are served.
+const MAX_CONSECUTIVE_READS: usize = 4;
 /// Size limit of the input buffer in bytes: one frame with its length field.
 const MAX_INPUT_BYTES: usize = frames::MAX_FRAME_BYTES + 4;
 
@@ -112,6 +114,8 @@
     /// The last response, until the bytes behind it confirm its length. Its part is still in `in_flight`.
     unconfirmed: Option<UnconfirmedResponse>,
     input: Vec<u8>,
+    /// Whether reading was stopped before the socket blocked.
+    more_to_read: bool,
     /// When the incomplete frame in `input` began.
     partial_since: Option<Micros>,
     last_received: Micros,
@@ -159,6 +163,10 @@
         self.last_used
     }
 
+    fn has_more_to_read(&self) -> bool {
+        self.more_to_read
+    }
+
     fn buffered_bytes(&self) -> usize {
         self.input.len() + self.writing.as_ref().map_or(0, |(_, bytes)| bytes.len())
     }
@@ -283,6 +291,7 @@
             duplicates: 0,
             unconfirmed: None,
             input: Vec::new(),
+            more_to_read: false,
             partial_since: None,
             last_received: now,
             last_used: now,
@@ -393,9 +402,11 @@
         }
     }
 
-    /// Reads and handles all available input. Returns `false` if the connection has to be closed.
+    /// Reads and handles the available input, with at most [`MAX_CONSECUTIVE_READS`] reads. Returns `false` if the
+    /// connection has to be closed.
     fn read(&mut self, now: Micros, events: &mut Vec<UpstreamEvent>) -> bool {
-        loop {
+        self.more_to_read = false;
+        for _ in 0..MAX_CONSECUTIVE_READS {
             let before = self.input.len();
             let end = self.stream.read(&mut self.input, MAX_INPUT_BYTES);
             if self.input.len() > before {
@@ -410,6 +421,8 @@
                 ReadEnd::Full => {}
             }
         }
+        self.more_to_read = true;
+        true
     }
 
     /// Logs a protocol error and returns `false`, since the start of the next frame is unknown. If nothing is in
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -30,6 +30,14 @@
 }
 
 impl UpstreamEvent {
+    /// Returns the bytes of a text that the event carries; tables are accounted as table memory.
+    fn text_bytes(&self) -> usize {
+        match self {
+            Self::AttemptEnded(_, _, Some(Value::Text(text))) => text.len(),
+            _ => 0,
+        }
+    }
+
     /// The event for an attempt that was never sent and will not be.
     fn not_sent(attempt: AttemptId) -> Self {
         Self::AttemptEnded(attempt, Outcome::NotSent, None)
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -29,6 +29,8 @@
 use crate::tls::Connector;
 use crate::token::SocketKind;
 
+/// Bytes of texts in events that were not taken, above which no further connection is read.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// An idle connection is closed after this fraction of the time after which backends close it.
 const IDLE_FRACTION: f64 = 0.8;
 
@@ -91,6 +93,10 @@
     /// Bytes in the buffers of all connections.
     buffered_bytes: usize,
     events: Vec<UpstreamEvent>,
+    /// Bytes of the texts in `events`.
+    event_bytes: usize,
+    /// Connections whose sockets may have more input.
+    more_to_read: Vec<u64>,
 }
 
 impl ConnectionPool {
@@ -114,11 +120,14 @@
             timers: BTreeSet::new(),
             buffered_bytes: 0,
             events: Vec::new(),
+            event_bytes: 0,
+            more_to_read: Vec::new(),
         }
     }
 
     /// Removes and returns the events since the last call.
     pub fn take_events(&mut self) -> Vec<UpstreamEvent> {
+        self.event_bytes = 0;
         std::mem::take(&mut self.events)
     }
 
@@ -216,19 +225,41 @@
         }
     }
 
-    /// Handles the readiness of a connection's socket.
+    /// Handles the readiness of a connection's socket. While many texts wait to be taken, it is read later: their memory
+    /// is accounted only once they are taken.
     pub fn handle_ready(&mut self, now: Micros, id: u64) {
+        if self.event_bytes >= MAX_EVENT_BYTES {
+            self.read_later(id);
+        } else {
+            self.read(now, id);
+        }
+    }
+
+    fn read_later(&mut self, id: u64) {
+        if !self.more_to_read.contains(&id) {
+            self.more_to_read.push(id);
+        }
+    }
+
+    fn read(&mut self, now: Micros, id: u64) {
         self.with_connection(id, |protocol, events| protocol.handle_ready(now, events));
     }
 
     /// Returns when [`handle_timeout`](Self::handle_timeout) has to be called next.
     #[must_use]
     pub fn poll_timeout(&self) -> Option<Micros> {
+        if !self.more_to_read.is_empty() {
+            return Some(0);
+        }
         self.timers.first().map(|(at, _)| *at)
     }
 
-    /// Ends whatever has timed out, and closes connections that have been idle for too long.
+    /// Continues connections that have more input, ends whatever has timed out, and closes connections that have been
+    /// idle for too long.
     pub fn handle_timeout(&mut self, now: Micros) {
+        for id in std::mem::take(&mut self.more_to_read) {
+            self.handle_ready(now, id);
+        }
         let idle_timeout = self.idle_timeout();
         let due = self.timers.iter().take_while(|(at, _)| *at <= now);
         for id in due.map(|&(_, id)| id).collect::<Vec<_>>() {
@@ -304,7 +335,7 @@
                 Selection::Existing(id) => id,
                 Selection::New { fallback, evict } => break (fallback, evict),
             };
-            self.handle_ready(now, id);
+            self.read(now, id);
             let connection = self.connections.get(&id);
             if connection.is_some_and(|c| self.can_take(now, &target, c, c.protocol.in_flight(now), attempts))
             {
@@ -426,7 +457,10 @@
     ) {
         let idle_timeout = self.idle_timeout();
         let Some(connection) = self.connections.get_mut(&id) else { return };
+        let events_before = self.events.len();
         let alive = call(&mut connection.protocol, &mut self.events);
+        self.event_bytes += self.events[events_before..].iter().map(UpstreamEvent::text_bytes).sum::<usize>();
+        let read_later = alive && connection.protocol.has_more_to_read();
         let timeout = connection.protocol.poll_timeout(idle_timeout);
         if timeout != connection.timeout {
             connection.timeout.into_iter().for_each(|at| _ = self.timers.remove(&(at, id)));
@@ -436,6 +470,9 @@
         let buffered_bytes = connection.protocol.buffered_bytes();
         self.buffered_bytes = self.buffered_bytes + buffered_bytes - connection.buffered_bytes;
         connection.buffered_bytes = buffered_bytes;
+        if read_later {
+            self.read_later(id);
+        }
         if !alive {
             self.close(id);
         }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+
 use crate::event_loop::Registration;
 use crate::{Handle, Token};
 
@@ -104,6 +106,15 @@
         }
     }
 
+    /// Whether the other side has closed the connection, or it has failed, though received bytes may be unread. A close
+    /// behind bytes that the kernel has no memory to receive is not known yet.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let mut descriptors = [PollFd::new(&*self.socket, PollFlags::RDHUP)];
+        let no_wait = Timespec::default();
+        // An error of poll says nothing about the connection.
+        poll(&mut descriptors, Some(&no_wait)).is_ok_and(|ready| ready > 0)
+    }
+
     /// Reads once into `buffer`; 0 means that the other side has closed.
     ///
     /// # Errors
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -116,7 +116,7 @@
     pub child: Child,
     /// Where it serves HTTP.
     pub http: SocketAddr,
-    /// Where it serves Arrow Flight.
+    /// Where it serves Arrow Flight; the address of HTTP if it does not.
     pub flight: SocketAddr,
     /// The lines that it has logged since it began to listen.
     pub log: Arc<Mutex<Vec<String>>>,
@@ -201,8 +201,9 @@
             }
         };
         let name = file["name"].as_str().expect("a name");
-        let (http, flight) =
-            (listen_address(&format!("{name} listens on ")), listen_address("Flight listens on "));
+        let http = listen_address(&format!("{name} listens on "));
+        let has_flight = operator.pointer("/flight/listen").is_some();
+        let flight = if has_flight { listen_address("Flight listens on ") } else { http };
         let log = Arc::new(Mutex::new(Vec::new()));
         let log_writer = Arc::clone(&log);
         std::thread::spawn(move || {
@@ -222,6 +223,14 @@
         self.signal(libc::SIGHUP);
     }
 
+    /// Returns the peak resident memory of the process, in KB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).expect("the process runs");
+        let line = text.lines().find(|line| line.starts_with("VmHWM:")).expect("a line");
+        line.split_whitespace().nth(1).expect("a number").parse().expect("a number")
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: libc::c_int) {
         let pid = self.child.id().to_string();
@@ -293,10 +302,7 @@
 
     /// Returns the peak resident memory of the program, in KB.
     pub fn peak_memory_kb(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.program.child.id());
-        let text = std::fs::read_to_string(path).expect("the program runs");
-        let line = text.lines().find(|line| line.starts_with("VmHWM:")).expect("a line");
-        line.split_whitespace().nth(1).expect("a number").parse().expect("a number")
+        self.program.peak_memory_kb()
     }
 
     /// Starts another instance with the same files, on ports of its own.
--- a/crates/testkit/src/manual_peers.rs
+++ b/crates/testkit/src/manual_peers.rs
@@ -168,6 +168,36 @@
     [&length.to_be_bytes()[..], &[letter], payload.as_bytes()].concat()
 }
 
+/// Serves a backend's connections in the background: each part is answered with this value after this time, each health
+/// check at once.
+pub fn answer_all_parts(listener: &TcpListener, work: Duration, value: String) {
+    let listener = listener.try_clone().expect("clone the listener");
+    std::thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let value = value.clone();
+            std::thread::spawn(move || answer_parts(Connection(socket), work, &value));
+        }
+    });
+}
+
+fn answer_parts(mut connection: Connection, work: Duration, value: &str) {
+    while let Some((kind, text)) = connection.frame() {
+        let mut answers = Connection(connection.0.try_clone().expect("clone the socket"));
+        let frames: Vec<u8> = match kind {
+            b'm' => {
+                let answer = |part: &Part| frame(b'q', &format!("{} good 0 util=0.5\n{value}", part.id));
+                parts(&text).iter().flat_map(answer).collect()
+            }
+            b'o' => frame(b'o', "good"),
+            _ => continue,
+        };
+        std::thread::spawn(move || {
+            std::thread::sleep(if kind == b'm' { work } else { Duration::ZERO });
+            answers.send_until_closed(frames);
+        });
+    }
+}
+
 /// Decodes the parts of a frame.
 fn parts(mut text: &str) -> Vec<Part> {
     let mut all = Vec::new();
@@ -182,9 +212,14 @@
 
 /// A query as an HTTP request that keeps the connection open.
 pub fn query(id: &str, kind: &str, ms: u64, shards: &[u32]) -> String {
+    query_with_text(id, kind, ms, shards, "c41e77d0")
+}
+
+/// As [`query`], with this text for the backends.
+pub fn query_with_text(id: &str, kind: &str, ms: u64, shards: &[u32], text: &str) -> String {
     let portion = 1.0 / shards.len() as f64;
     let ranges: Vec<Value> = shards.iter().map(|s| json!({"range": s, "portion": portion})).collect();
-    let body = json!({"ranges": ranges, "predicate": "c41e77d0"}).to_string();
+    let body = json!({"ranges": ranges, "predicate": text}).to_string();
     format!(
         "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\n\
          Req-Deadline-Ms: {ms}\r\nContent-Length: {}\r\n\r\n{body}",
@@ -217,18 +252,25 @@
         descriptors: u32,
         change: impl FnOnce(&mut Value),
     ) -> Self {
-        Self::start_with(backends, descriptors, &json!([]), change)
+        let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": []}});
+        Self::start_with(backends, descriptors, &operator, change)
+    }
+
+    /// As [`TestBed::start`], without an operator's file, as on the platform.
+    pub fn start_without_flight(backends: usize, change: impl FnOnce(&mut Value)) -> Self {
+        Self::start_with(backends, 1024, &json!({}), change)
     }
 
     /// As [`TestBed::start`], with backends that the program reaches over Flight.
     pub fn start_with_flight(backends: usize, change: impl FnOnce(&mut Value)) -> Self {
-        Self::start_with(backends, 1024, &json!("all"), change)
+        let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": "all"}});
+        Self::start_with(backends, 1024, &operator, change)
     }
 
     fn start_with(
         backends: usize,
         descriptors: u32,
-        flight: &Value,
+        operator: &Value,
         change: impl FnOnce(&mut Value),
     ) -> Self {
         let backends: Vec<TcpListener> = (0..backends).map(|_| listener()).collect();
@@ -236,8 +278,7 @@
         let addrs: Vec<SocketAddr> = backends.iter().map(addr).collect();
         let mut file = config(&addrs, addr(&discovery));
         change(&mut file);
-        let operator = json!({"flight": {"listen": "127.0.0.1:0", "hosts": flight}});
-        Self { program: Program::start(&file, &operator, descriptors), backends, discovery }
+        Self { program: Program::start(&file, operator, descriptors), backends, discovery }
     }
 
     /// The entry of a backend in the endpoint list.
