Bound the turn of every connection, so that one that sends without pause delays nobody

Cause: a ready connection was driven until its socket blocked, which a peer that sends without pause never lets happen.

Ruled out: memory that grows with new names, the router, the batch interval.

Change: an HTTP client's turn is four reads and 16 requests; http2_socket::Turn bounds a Flight connection to 64 KB and 64 polls, towards clients and towards backends. What is left is continued in the next iteration, behind all other sockets, the timers and the core's batch. So the time until a connection is served again is the sum of bounded turns.

--- a/crates/edge/src/front/flight/connection.rs
+++ b/crates/edge/src/front/flight/connection.rs
@@ -16,7 +16,7 @@
 use super::call::Call;
 use super::service::FlightService;
 use super::stream_accept::accept;
-use crate::http2_socket::{Http2Socket, WakeFlag};
+use crate::http2_socket::{Http2Socket, Turn, WakeFlag};
 
 /// Timeout of the TLS and HTTP/2 handshakes together, in microseconds.
 pub const HANDSHAKE_TIMEOUT: Micros = 2_000_000;
@@ -48,6 +48,8 @@
     pub flag: Arc<WakeFlag>,
     /// Sets `flag`.
     pub waker: Waker,
+    /// Bounds what is read before other connections are served.
+    pub turn: Turn,
     /// The open calls, by id.
     pub calls: BTreeMap<u64, Call>,
     /// A GOAWAY was sent to the client.
@@ -91,7 +93,8 @@
         self.calls.is_empty().then_some(self.idle_since + idle_time)
     }
 
-    /// Drives the connection and its calls until the socket blocks; `false` when the connection has ended.
+    /// Drives the connection and its calls until the socket blocks or its turn ends; `false` when the connection has
+    /// ended.
     pub fn handle_ready(
         &mut self,
         now: Micros,
@@ -100,7 +103,8 @@
         service: &mut FlightService,
         core: &mut Core,
     ) -> bool {
-        loop {
+        self.turn.begin();
+        while self.turn.count_poll() {
             self.flag.take();
             let waker = self.waker.clone();
             let alive =
@@ -109,6 +113,7 @@
                 return alive;
             }
         }
+        true
     }
 
     fn drive(
--- a/crates/edge/src/front/flight/mod.rs
+++ b/crates/edge/src/front/flight/mod.rs
@@ -53,7 +53,7 @@
 use self::connection::{Connection, Lingering, State, LINGER_BYTES, LINGER_TIME};
 use self::service::{random_bytes, FlightService, ABANDONED_POLL_TIME, OUTCOME_RETENTION, SESSION_IDLE_TIME};
 use self::submission::Delivery;
-use crate::http2_socket::{Http2Socket, WakeFlag};
+use crate::http2_socket::{Http2Socket, Turn, WakeFlag};
 use crate::tls::{self, Acceptor, TlsError};
 use crate::token::SocketKind;
 
@@ -63,6 +63,8 @@
     lingering: BTreeMap<u64, Lingering>,
     /// The connection of each open call.
     connection_of_call: BTreeMap<u64, u64>,
+    /// Connections whose turn has ended before their sockets blocked.
+    more_to_read: BTreeSet<u64>,
     service: FlightService,
     acceptor: Option<Acceptor>,
     /// No more connections are accepted, and idle ones are closed soon.
@@ -131,6 +133,7 @@
             connections: BTreeMap::new(),
             lingering: BTreeMap::new(),
             connection_of_call: BTreeMap::new(),
+            more_to_read: BTreeSet::new(),
             service,
             acceptor,
             finishing: false,
@@ -180,7 +183,9 @@
             Ok(session) => session,
             Err(e) => return tracing::warn!("accepted client connection failed: {e}"),
         };
-        let (wire, _) = Http2Socket::new(Rc::clone(&stream), session.map(tls::Session::Server));
+        let turn = Turn::default();
+        let session = session.map(tls::Session::Server);
+        let (wire, _) = Http2Socket::new(Rc::clone(&stream), session, turn.clone());
         let limits = self.service.admission.limits();
         let mut builder = server::Builder::new();
         builder
@@ -194,7 +199,7 @@
         let calls = BTreeMap::new();
         let draining = false;
         self.connections
-            .insert(id, Connection { stream, state, flag, waker, calls, draining, idle_since: now });
+            .insert(id, Connection { stream, state, flag, waker, turn, calls, draining, idle_since: now });
         self.service.admission.connected();
     }
 
@@ -212,7 +217,11 @@
             }
         }
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        if !connection.handle_ready(now, id, &mut self.connection_of_call, &mut self.service, core) {
+        let alive = connection.handle_ready(now, id, &mut self.connection_of_call, &mut self.service, core);
+        if alive && connection.turn.has_ended() {
+            self.more_to_read.insert(id);
+        }
+        if !alive {
             self.close(now, id, core);
         }
     }
@@ -297,6 +306,9 @@
     /// Returns when the first timeout of a call, connection or polled query is due.
     #[must_use]
     pub fn poll_timeout(&self) -> Option<Micros> {
+        if !self.more_to_read.is_empty() {
+            return Some(0);
+        }
         let calls = self.connections.values().flat_map(|c| c.calls.values());
         let idle = self.connections.values().filter_map(|c| c.idle_until(self.finishing));
         let lingering = self.lingering.values().map(|lingering| lingering.closes_at);
@@ -308,8 +320,12 @@
             .min()
     }
 
-    /// Ends the calls, connections and polled queries whose timeouts are due.
+    /// Continues connections whose turn has ended, and ends the calls, connections and polled queries whose timeouts are
+    /// due.
     pub fn handle_timeout(&mut self, now: Micros, core: &mut Core) {
+        for id in std::mem::take(&mut self.more_to_read) {
+            self.handle_ready(now, id, core);
+        }
         for run in self.service.polled_queries.handle_timeout(now) {
             self.service.cancel_run(run, core);
         }
--- a/crates/edge/src/front/http/connection.rs
+++ b/crates/edge/src/front/http/connection.rs
@@ -40,7 +40,9 @@
 /// Responses up to this size are queued though there is no memory, in bytes: they say what has become of a request.
 const MAX_UNRESERVED_RESPONSE: usize = 1024;
 /// Consecutive reads from one client before other connections are served.
-const MAX_CONSECUTIVE_READS: usize = 16;
+const MAX_CONSECUTIVE_READS: usize = 4;
+/// Requests that are read from one client before other connections are served.
+const MAX_CONSECUTIVE_REQUESTS: usize = 16;
 
 #[derive(Debug)]
 pub(super) enum State {
@@ -97,6 +99,8 @@
     close: bool,
     /// How many more bytes after the last response are read and dropped.
     linger_bytes: usize,
+    /// How many more requests are read before other connections are served.
+    requests_left: usize,
 }
 
 impl Connection {
@@ -114,6 +118,7 @@
             awaits_memory: false,
             close: false,
             linger_bytes: LINGER_BYTES,
+            requests_left: MAX_CONSECUTIVE_REQUESTS,
         }
     }
 
@@ -171,7 +176,8 @@
         self.request_started = false;
     }
 
-    /// Reads and writes until the socket blocks, with at most [`MAX_CONSECUTIVE_READS`] reads.
+    /// Reads and writes until the socket blocks, with at most [`MAX_CONSECUTIVE_READS`] reads and
+    /// [`MAX_CONSECUTIVE_REQUESTS`] requests.
     pub(super) fn handle_ready(
         &mut self,
         now: Micros,
@@ -181,6 +187,7 @@
         phase: Phase,
     ) -> Progress {
         self.awaits_memory = false;
+        self.requests_left = MAX_CONSECUTIVE_REQUESTS;
         for _ in 0..MAX_CONSECUTIVE_READS {
             if !self.flush(now) {
                 return Progress::Closed;
@@ -199,6 +206,9 @@
                 continue;
             }
             let Some(consumed) = self.handle_input(now, id, core, phase) else { return Progress::Closed };
+            if self.requests_left == 0 && self.may_hold_request() {
+                return Progress::MoreToRead;
+            }
             if end.is_over() {
                 return Progress::Closed;
             }
@@ -248,7 +258,7 @@
         }
         let mut consumed = false;
         // While a client does not read its responses, its next requests are not handled.
-        while matches!(self.state, State::Idle | State::ReadingBody(..)) && !self.has_output() {
+        while self.may_read_request() {
             match self.read_request(now, id, core, phase) {
                 Ok(true) => consumed = true,
                 Ok(false) => break,
@@ -276,6 +286,20 @@
         Some(consumed)
     }
 
+    /// Returns whether the next piece of a request is read from the buffered input now.
+    fn may_read_request(&self) -> bool {
+        match self.state {
+            State::Idle => self.requests_left > 0 && !self.has_output(),
+            State::ReadingBody(..) => !self.has_output(),
+            State::AwaitingResponse | State::Closing | State::Lingering => false,
+        }
+    }
+
+    /// Returns whether the buffered input may hold another request that could be read.
+    fn may_hold_request(&self) -> bool {
+        matches!(self.state, State::Idle) && self.has_input() && !self.has_output()
+    }
+
     /// Starts the request timeout at the first bytes of a request. For the first request it starts with the
     /// connection.
     fn track_request_start(&mut self, now: Micros) {
@@ -305,6 +329,7 @@
                     self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                 }
                 self.state = State::ReadingBody(Box::new(head), body);
+                self.requests_left = self.requests_left.saturating_sub(1);
                 Ok(true)
             }
             State::ReadingBody(_, body) => {
--- a/crates/edge/src/http2_socket.rs
+++ b/crates/edge/src/http2_socket.rs
@@ -1,8 +1,10 @@
 //! Lets `h2` read and write a socket of the event loop, in plaintext or through TLS.
 //!
 //! There is no async runtime: a connection polls `h2` when its socket is ready, and again for as long as `h2` wakes
-//! the [`WakeFlag`].
+//! the [`WakeFlag`]. A [`Turn`] bounds what is read meanwhile: a peer that sends without pause must not keep the event loop
+//! from the others.
 
+use std::cell::Cell;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -41,6 +43,55 @@
 
 /// Maximum number of bytes read from a socket in one call.
 const MAX_READ_BYTES: usize = 64 * 1024;
+/// Bytes that are read from one socket before other connections are served.
+const TURN_BYTES: usize = 64 * 1024;
+/// How often `h2` is polled for one connection before other connections are served.
+const TURN_POLLS: usize = 64;
+
+/// What one connection may do before other connections are served. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Turn(Rc<TurnState>);
+
+#[derive(Debug, Default)]
+struct TurnState {
+    bytes_left: Cell<usize>,
+    polls_left: Cell<usize>,
+    ended: Cell<bool>,
+}
+
+impl Turn {
+    /// Begins the next turn.
+    pub fn begin(&self) {
+        self.0.bytes_left.set(TURN_BYTES);
+        self.0.polls_left.set(TURN_POLLS);
+        self.0.ended.set(false);
+    }
+
+    /// Counts a poll of `h2`. Returns `false` if the turn has ended instead.
+    pub fn count_poll(&self) -> bool {
+        let polls_left = self.0.polls_left.get();
+        self.0.polls_left.set(polls_left.saturating_sub(1));
+        self.0.ended.set(self.0.ended.get() || polls_left == 0);
+        polls_left > 0
+    }
+
+    /// Returns whether the turn ended before the socket blocked: its readiness is not reported again.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.0.ended.get()
+    }
+
+    /// Returns how many bytes may be read; the turn ends if there are none.
+    fn readable(&self) -> usize {
+        let bytes_left = self.0.bytes_left.get();
+        self.0.ended.set(self.0.ended.get() || bytes_left == 0);
+        bytes_left
+    }
+
+    fn count_bytes(&self, bytes: usize) {
+        self.0.bytes_left.set(self.0.bytes_left.get().saturating_sub(bytes));
+    }
+}
 
 /// A socket with the interface that `h2` uses.
 pub struct Http2Socket {
@@ -53,14 +104,20 @@
     stream: Rc<Stream>,
     /// Set when bytes arrive.
     bytes_received: Arc<AtomicBool>,
+    turn: Turn,
 }
 
 impl Read for PlainSocket {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let readable = buffer.len().min(self.turn.readable());
+        if readable == 0 && !buffer.is_empty() {
+            return Err(ErrorKind::WouldBlock.into());
+        }
         loop {
-            match self.stream.read_once(buffer) {
+            match self.stream.read_once(&mut buffer[..readable]) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 read => {
+                    self.turn.count_bytes(read.as_ref().copied().unwrap_or(0));
                     self.bytes_received.fetch_or(read.as_ref().is_ok_and(|&n| n > 0), Ordering::Relaxed);
                     return read;
                 }
@@ -173,11 +230,11 @@
 }
 
 impl Http2Socket {
-    /// Wraps a connected socket. The returned flag is set when bytes arrive.
+    /// Wraps a connected socket, which is read within `turn`. The returned flag is set when bytes arrive.
     #[must_use]
-    pub fn new(stream: Rc<Stream>, tls: Option<Session>) -> (Self, Arc<AtomicBool>) {
+    pub fn new(stream: Rc<Stream>, tls: Option<Session>, turn: Turn) -> (Self, Arc<AtomicBool>) {
         let bytes_received = Arc::new(AtomicBool::new(false));
-        let socket = PlainSocket { stream, bytes_received: Arc::clone(&bytes_received) };
+        let socket = PlainSocket { stream, bytes_received: Arc::clone(&bytes_received), turn };
         (Self { socket, tls }, bytes_received)
     }
 
--- a/crates/edge/src/upstream/flight_connection.rs
+++ b/crates/edge/src/upstream/flight_connection.rs
@@ -25,7 +25,7 @@
 use super::connection::BackendConnection;
 use super::flight_stream::{CallInfo, PartStream};
 use super::{drop_expired, drop_unsent, UpstreamEvent, MESSAGE_TIMEOUT};
-use crate::http2_socket::{Http2Socket, WakeFlag};
+use crate::http2_socket::{Http2Socket, Turn, WakeFlag};
 use crate::tls::{Connector, Session};
 
 /// Range of the HTTP/2 maximum frame size, in bytes; larger frames cost less per byte.
@@ -87,6 +87,8 @@
     /// Set when `h2` asks to be polled again.
     poll_requested: Arc<WakeFlag>,
     waker: Waker,
+    /// Bounds what is read before other connections are served.
+    turn: Turn,
     /// Calls of which nothing was passed to `h2`.
     queue: VecDeque<Vec<AttemptRequest>>,
     streams: Vec<PartStream>,
@@ -127,7 +129,7 @@
     }
 
     fn has_more_to_read(&self) -> bool {
-        false
+        self.turn.has_ended()
     }
 
     /// Its buffers are accounted as table memory.
@@ -194,12 +196,13 @@
     }
 
     fn handle_ready(&mut self, now: Micros, events: &mut Vec<UpstreamEvent>) -> bool {
+        self.turn.begin();
         match self.establish() {
             Poll::Pending => return true,
             Poll::Ready(false) => return false,
             Poll::Ready(true) => {}
         }
-        loop {
+        while self.turn.count_poll() {
             self.poll_requested.take();
             let waker = self.waker.clone();
             let alive = self.drive(&mut Context::from_waker(&waker), now, events);
@@ -210,6 +213,7 @@
                 return alive;
             }
         }
+        true
     }
 
     fn handle_timeout(&mut self, now: Micros, idle_timeout: Micros, events: &mut Vec<UpstreamEvent>) -> bool {
@@ -259,6 +263,7 @@
             bytes_received: Arc::default(),
             poll_requested,
             waker,
+            turn: Turn::default(),
             queue: VecDeque::new(),
             streams: Vec::new(),
             call_count: 0,
@@ -304,7 +309,8 @@
                     return Poll::Ready(false);
                 }
             };
-            let (socket, bytes_received) = Http2Socket::new(Rc::clone(&self.stream), session);
+            let (socket, bytes_received) =
+                Http2Socket::new(Rc::clone(&self.stream), session, self.turn.clone());
             self.bytes_received = bytes_received;
             self.state = State::TlsHandshake(socket);
         }
