Begin nothing for clients that have left, and run no id twice that may have run

Cause: a query is closed with its client, and nothing remembered its id. With the register, a query was kept open once an attempt had asked for a permit, also when that attempt was proved not executed.

Ruled out: attempts of closed queries, polled queries.

Change: core::executed_requests keeps ids of non-idempotent queries that may have been executed, bounded in number and time, and a query under one is an error; where permits are required the register decides. A query proved not executed ends when no client waits for it. A query is not submitted once the kernel knows its client's connection to be closed. So a second run needs an id that is no longer known, and a late start needs a client that is still there.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -11,6 +11,7 @@
 
 use crate::attempts::InFlightAttempts;
 use crate::client_memory::ClientMemory;
+use crate::executed_requests::ExecutedRequests;
 use crate::open_queries::{all_handles, OpenQueries, OpenQuery};
 use crate::planned_queries::{PlanClass, TwoPhase, TwoPhaseSettings};
 use crate::query::{Action, AttemptId, CompletedQuery, Failure, QueryRequest, QueryResponse, ResponseHandle};
@@ -49,6 +50,8 @@
     deadline: Micros,
     /// Whether its parts may be executed repeatedly.
     pub(crate) idempotent: bool,
+    /// Whether no part may be executed twice, under any condition.
+    non_idempotent: bool,
     /// In microseconds.
     latency_objective: Micros,
     minimum_completeness: f64,
@@ -59,6 +62,7 @@
         Self {
             deadline: class.deadline,
             idempotent: matches!(class.idempotency, Idempotency::Idempotent),
+            non_idempotent: matches!(class.idempotency, Idempotency::NonIdempotent),
             latency_objective: class.latency_objective,
             minimum_completeness: class.minimum_completeness,
         }
@@ -92,6 +96,8 @@
     pub(crate) two_phase: Option<TwoPhase>,
     pub(crate) open: OpenQueries,
     pub(crate) attempts: InFlightAttempts,
+    /// Ended queries that must not be executed again; empty if permits are required, which ensure that.
+    pub(crate) executed_requests: ExecutedRequests,
     /// Events for the router's next batch.
     pub(crate) events: Vec<Event>,
     /// Actions that were added between batches.
@@ -126,6 +132,7 @@
             two_phase: None,
             open: OpenQueries::default(),
             attempts: InFlightAttempts::default(),
+            executed_requests: ExecutedRequests::default(),
             events: Vec::new(),
             ready_actions: Vec::new(),
             router_timer: None,
@@ -184,6 +191,11 @@
         self.permits_required && !self.is_idempotent(class)
     }
 
+    /// Returns whether this instance alone has to ensure that a class's queries are not executed twice.
+    pub(crate) fn must_not_repeat(&self, class: ClassId) -> bool {
+        self.classes[class.0].non_idempotent && !self.permits_required
+    }
+
     /// Returns when a client that is rejected now may retry, in microseconds.
     pub fn retry_after(&mut self) -> Micros {
         self.router.retry_after()
@@ -278,23 +290,42 @@
     /// Handles the disconnect of a client. It is not answered.
     pub fn client_disconnected(&mut self, handle: ResponseHandle) {
         let Some(query) = self.open.remove_waiter(handle) else { return };
-        if self.open.get(query).is_some_and(|open| self.outlives_client(open)) {
+        let Some(open) = self.open.get(query) else { return };
+        if self.outlives_client(open) {
             return;
         }
+        if self.requires_permits(open.request.class) {
+            return self.end_without_client(query);
+        }
         self.close(query);
         self.events.push(Event::ClientDisconnected(query));
     }
 
     /// Returns whether a query continues although a client has disconnected. One that requires permits does
-    /// after its first attempt, since its client may send it again and has to get its outcome, and while
-    /// other clients wait.
+    /// once a part may have been executed, since its client may send it again and has to get its outcome, and
+    /// while other clients wait.
     fn outlives_client(&self, open: &OpenQuery) -> bool {
-        if !self.requires_permits(open.request.class) {
-            return false;
-        }
-        let attempted = open.parts.iter().any(|part| self.attempts.was_attempted(part.part));
+        self.requires_permits(open.request.class) && (!open.not_executed() || self.has_client(open))
+    }
+
+    /// Returns whether a client waits for a query.
+    fn has_client(&self, open: &OpenQuery) -> bool {
         let mut handles = open.coalesced_waiters.iter().chain([&open.response_handle]);
-        attempted || handles.any(|handle| self.open.is_waiting(*handle))
+        handles.any(|handle| self.open.is_waiting(*handle))
+    }
+
+    /// Ends a query that is proved not executed and that no client waits for: nothing of it may begin any more. Its
+    /// outcome is replicated if an attempt has asked for a permit.
+    fn end_without_client(&mut self, query: QueryId) {
+        let Some(open) = self.open.get(query) else { return };
+        if !open.not_executed() || self.has_client(open) {
+            return;
+        }
+        let was_attempted = open.parts.iter().any(|part| self.attempts.was_attempted(part.part));
+        let rejected = self.reject(true);
+        let action = self.finish(query, rejected);
+        self.ready_actions.extend(action.filter(|_| was_attempted));
+        self.events.push(Event::ClientDisconnected(query));
     }
 
     /// Closes a query without a response because another instance has taken it over. Returns its waiting
@@ -333,6 +364,9 @@
             value => (outcome, value),
         };
         let outcome = self.record_outcome(now, attempt.query, id.part, outcome, value);
+        if not_executed(outcome) && self.permits_required {
+            self.end_without_client(attempt.query);
+        }
         if !self.cancellation && outcome == Outcome::Succeeded {
             self.revoke_unsent(id.part);
         }
@@ -487,6 +521,9 @@
 
     fn close(&mut self, query: QueryId) -> Option<OpenQuery> {
         let open = self.open.remove(query)?;
+        if self.must_not_repeat(open.request.class) && !open.not_executed() {
+            self.executed_requests.record(&open.request.id, open.deadline);
+        }
         for part in &open.parts {
             self.attempts.close_part(part.part);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod attempts;
 mod core;
+mod executed_requests;
 mod open_queries;
 mod planned_queries;
 mod query;
--- a/crates/core/src/submission.rs
+++ b/crates/core/src/submission.rs
@@ -31,6 +31,9 @@
         if let Some(query) = self.open.find(&request.id) {
             return self.coalesce(query, handle, &request);
         }
+        if self.must_not_repeat(request.class) && self.executed_requests.contains(now, &request.id) {
+            return Err(ValidationError::MayHaveBeenExecuted.into());
+        }
         let time_to_respond = self.answer_deadline.map_or(Micros::MAX, |by| by.saturating_sub(now));
         request.expires_in = request.expires_in.min(time_to_respond);
         let mut memory = self.client_memory.query();
--- a/crates/core/src/validation.rs
+++ b/crates/core/src/validation.rs
@@ -27,6 +27,8 @@
     IdInUse,
     /// A query with the same id and a different body, class or list of parts is open.
     IdInUseWithDifferentBody,
+    /// A query with the same id has ended. It may have been executed, and must not be executed again.
+    MayHaveBeenExecuted,
     /// The request has a plan, but two-phase queries are disabled.
     TwoPhaseDisabled,
     /// A number in the plan is out of its range.
@@ -48,6 +50,7 @@
             Self::InvalidWeights => "the shares of the parts do not add up to 1",
             Self::IdInUse => "a query of this id is open",
             Self::IdInUseWithDifferentBody => "a query of this id with another body is open",
+            Self::MayHaveBeenExecuted => "a query of this id may have run",
             Self::TwoPhaseDisabled => "queries in two phases are not taken here",
             Self::InvalidPlan => "the plan makes no sense",
             Self::IdReplicatedWithDifferentBody => "this id was asked with another body",
--- a/crates/core/tests/client_disconnected.rs
+++ b/crates/core/tests/client_disconnected.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use mallowgauge_core::{Action, Core, CoreLimits, QueryRequest, ResponseHandle};
-use mallowgauge_router::{BackendId, Class, Endpoint, EndpointState, EndpointUpdate, Idempotency, Micros};
+use mallowgauge_core::{Action, AttemptId, Core, CoreLimits, QueryRequest, ResponseHandle};
+use mallowgauge_router::{
+    BackendId, Class, Endpoint, EndpointState, EndpointUpdate, Idempotency, Micros, Outcome, PartId,
+};
 
 use common::{request, SECOND};
 
@@ -88,3 +90,33 @@
     let handles = completed.expect("an outcome at the deadline").response_handles;
     assert_eq!(handles, [ResponseHandle::TakenOver(1), ResponseHandle::Flight(2)]);
 }
+
+// Guards against sending a query whose client has left, after its only attempt was dropped unsent.
+#[test]
+fn a_query_proved_not_executed_ends_once_its_client_has_left() {
+    for leaves_first in [true, false] {
+        let mut core = core();
+        core.submit(START, ResponseHandle::Http(1), request("a")).expect("the query is opened");
+        assert_eq!(permit_requests(&mut core), 1);
+        let attempt = AttemptId { part: PartId(core_part()), number: 0 };
+        assert!(core.is_in_flight(attempt));
+        if leaves_first {
+            core.client_disconnected(ResponseHandle::Http(1));
+            assert_eq!(core.open_queries(), 1);
+            core.attempt_completed(START + SECOND, attempt, Outcome::NotSent, None);
+        } else {
+            core.attempt_completed(START + SECOND, attempt, Outcome::NotSent, None);
+            core.client_disconnected(ResponseHandle::Http(1));
+        }
+        let actions: Vec<Action> =
+            (1..100).flat_map(|n| core.run_batch(START + SECOND + n * 10_000)).collect();
+        let outcomes = actions.iter().filter(|action| matches!(action, Action::ReplicateOutcome(_))).count();
+        let permits = actions.iter().filter(|action| matches!(action, Action::RequestPermit(..))).count();
+        assert_eq!((core.open_queries(), outcomes, permits), (0, 1, 0), "leaves first: {leaves_first}");
+    }
+}
+
+/// The number of the first part of a core with the seed of these tests: that of its query and one more.
+fn core_part() -> u128 {
+    (7 << 64) + 2
+}
--- a/crates/edge/src/front/flight/connection.rs
+++ b/crates/edge/src/front/flight/connection.rs
@@ -103,6 +103,10 @@
         service: &mut FlightService,
         core: &mut Core,
     ) -> bool {
+        if self.stream.is_closed_by_peer() {
+            // The client has left: calls that are not read yet must not begin.
+            return false;
+        }
         self.turn.begin();
         while self.turn.count_poll() {
             self.flag.take();
--- a/crates/edge/src/front/flight/status.rs
+++ b/crates/edge/src/front/flight/status.rs
@@ -45,6 +45,9 @@
         QueryResponse::Failed(Failure::Invalid(
             error @ (ValidationError::IdInUse | ValidationError::IdInUseWithDifferentBody),
         )) => Status::new(Code::AlreadyExists, error.message()).with_reason("ID_IN_USE"),
+        QueryResponse::Failed(Failure::Invalid(ValidationError::MayHaveBeenExecuted)) => {
+            rejection_status(RejectReason::Forgotten)
+        }
         QueryResponse::Failed(Failure::Invalid(error)) => Status::new(Code::InvalidArgument, error.message()),
         QueryResponse::Failed(Failure::PartsFailed) => Status::new(Code::Internal, "parts could not be had"),
         QueryResponse::Failed(Failure::MemoryExhausted) => {
--- a/crates/edge/src/front/http/connection.rs
+++ b/crates/edge/src/front/http/connection.rs
@@ -10,7 +10,7 @@
 use mallowgauge_router::Micros;
 
 use super::input_reader::InputReader;
-use super::routes::{error_body, no_room, render, route, Reply, HEALTH_PATH};
+use super::routes::{error_body, no_room, render, route, Reply, HEALTH_PATH, QUERY_PATH};
 use crate::front::http1::{self, BodyReader, MessageError, RequestHead};
 use crate::lifecycle::Phase;
 
@@ -101,6 +101,8 @@
     linger_bytes: usize,
     /// How many more requests are read before other connections are served.
     requests_left: usize,
+    /// The client has left behind requests that are not read yet; none of them may begin.
+    client_left: bool,
 }
 
 impl Connection {
@@ -119,6 +121,7 @@
             close: false,
             linger_bytes: LINGER_BYTES,
             requests_left: MAX_CONSECUTIVE_REQUESTS,
+            client_left: false,
         }
     }
 
@@ -206,6 +209,9 @@
                 continue;
             }
             let Some(consumed) = self.handle_input(now, id, core, phase) else { return Progress::Closed };
+            if self.client_left {
+                return Progress::Closed;
+            }
             if self.requests_left == 0 && self.may_hold_request() {
                 return Progress::MoreToRead;
             }
@@ -332,9 +338,13 @@
                 self.requests_left = self.requests_left.saturating_sub(1);
                 Ok(true)
             }
-            State::ReadingBody(_, body) => {
+            State::ReadingBody(head, body) => {
                 let Some(body) = body.take(&mut self.input)? else { return Ok(false) };
                 self.is_new = false;
+                self.client_left = head.path == QUERY_PATH && self.stream.is_closed_by_peer();
+                if self.client_left {
+                    return Ok(false);
+                }
                 if let State::ReadingBody(head, _) =
                     std::mem::replace(&mut self.state, State::AwaitingResponse)
                 {
--- a/crates/edge/src/front/http/routes.rs
+++ b/crates/edge/src/front/http/routes.rs
@@ -13,7 +13,7 @@
 /// Path of the health check: the platform's proxy polls it to learn whether this instance accepts queries.
 pub(super) const HEALTH_PATH: &str = "/healthz";
 /// Path that queries are posted to.
-const QUERY_PATH: &str = "/api";
+pub(super) const QUERY_PATH: &str = "/api";
 /// Bytes of text made from tables in a response that is known at submission: a rejection or an invalid query.
 const NO_TABLE_TEXT: usize = 0;
 
--- a/crates/mallowgauge/tests/client_crossings.rs
+++ b/crates/mallowgauge/tests/client_crossings.rs
@@ -408,3 +408,41 @@
     let log = test_bed.program.log.lock().expect("the log");
     assert_eq!(log.iter().filter(|line| line.contains("malformed requests: ")).count(), 7, "{log:#?}");
 }
+
+// Guards against executing a place-hold a second time when its client has left and comes again under the same id.
+#[test]
+fn id_of_a_client_that_left_is_not_executed_twice() {
+    let (test_bed, mut backend) = start();
+    let hold = query("hold", "place-hold", 60_000, &[0]);
+    let mut client = test_bed.client();
+    client.send(&hold);
+    let part = backend.next_part();
+    client.reset();
+    assert_eq!(backend.next_input(), BackendInput::Cancelled("hold.0".to_owned()));
+    for _ in 0..2 {
+        let mut again = test_bed.client();
+        again.send(&hold);
+        let (status, body) = again.response().expect("an answer");
+        assert!(status == 400 && body.contains("may have run"), "{status} {body}");
+    }
+    backend.answer_part(&part, "good", "x");
+    assert_next_query_is_answered(&test_bed, &mut backend, "next");
+}
+
+// Guards against executing a place-hold whose Flight client has left before it was read.
+#[test]
+fn call_of_a_flight_client_that_left_is_not_sent() {
+    let (test_bed, mut backend) = start();
+    let mut raw = RawHttp2Client::connect(test_bed.program.flight);
+    let command = json!({"kind": "place-hold", "id": "hold", "ranges": [0], "predicate": "c41e77d0"});
+    let descriptor = FlightDescriptor::command(command.to_string().into());
+    let reply = raw.call("GetFlightInfo", &[], &grpc::frame(&descriptor));
+    let info = FlightInfo::decode(reply.messages[0].as_slice()).expect("a FlightInfo");
+    let ticket = grpc::frame(info.endpoint[0].ticket.as_ref().expect("a ticket"));
+    test_bed.pause();
+    raw.start_call("DoGet", &[], &ticket);
+    drop(raw);
+    test_bed.resume();
+    assert_next_query_is_answered(&test_bed, &mut backend, "next");
+    assert_next_query_is_answered(&test_bed, &mut backend, "after");
+}
