Let a query wait beside one client's backlog instead of rejecting it

Callers saw: while one client's DoPut runs its rows, another client's search gets 503.

The router took the search for late, since one client's 64 rows kept all backends busy: expected waits of 464 to 781 ms where 450 are 30% of the objective. One client may fill Limits.MaxOpen in the same way.

Change: core::postponed. A query that the router or MaxOpen would reject, beside a client with several open queries and a quarter of all, is submitted again every 20 ms for two fifths of its time; that client starts none meanwhile. A Flight client is its connection, an HTTP client has one query and so dominates nobody: without Flight each decision is as before. A batch stream starts 16 queries before other calls are driven.

The leak test's queries now come from one client every second time, so that its rule "the flood uses each table" holds for the new one.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -14,6 +14,7 @@
 use crate::executed_requests::ExecutedRequests;
 use crate::open_queries::{all_handles, OpenQueries, OpenQuery};
 use crate::planned_queries::{PlanClass, TwoPhase, TwoPhaseSettings};
+use crate::postponed::PostponedQueries;
 use crate::query::{Action, AttemptId, CompletedQuery, Failure, QueryRequest, QueryResponse, ResponseHandle};
 use crate::router_actions::BatchActions;
 use crate::stream_outcome::not_executed;
@@ -98,6 +99,7 @@
     pub(crate) attempts: InFlightAttempts,
     /// Ended queries that must not be executed again; empty if permits are required, which ensure that.
     pub(crate) executed_requests: ExecutedRequests,
+    pub(crate) postponed: PostponedQueries,
     /// Events for the router's next batch.
     pub(crate) events: Vec<Event>,
     /// Actions that were added between batches.
@@ -133,6 +135,7 @@
             open: OpenQueries::default(),
             attempts: InFlightAttempts::default(),
             executed_requests: ExecutedRequests::default(),
+            postponed: PostponedQueries::default(),
             events: Vec::new(),
             ready_actions: Vec::new(),
             router_timer: None,
@@ -207,12 +210,12 @@
 
     /// Returns the number of open queries.
     pub fn open_queries(&self) -> usize {
-        self.open.len()
+        self.open.len() + self.postponed.len()
     }
 
     /// Returns whether a query with this id is open.
     pub fn is_open(&self, id: &str) -> bool {
-        self.open.find(id).is_some()
+        self.open.find(id).is_some() || self.postponed.has_id(id)
     }
 
     /// Returns the open request with this id and its client's remaining time, in microseconds.
@@ -271,6 +274,7 @@
         let (open, attempts) = (self.open.counts(), self.attempts.counts());
         let own = [
             ("open queries", open.queries),
+            ("postponed queries", self.postponed.len()),
             ("request ids", open.request_ids),
             ("response handles", open.response_handles),
             ("parts", open.parts),
@@ -289,6 +293,9 @@
 
     /// Handles the disconnect of a client. It is not answered.
     pub fn client_disconnected(&mut self, handle: ResponseHandle) {
+        if self.postponed.remove(handle) {
+            return;
+        }
         let Some(query) = self.open.remove_waiter(handle) else { return };
         let Some(open) = self.open.get(query) else { return };
         if self.outlives_client(open) {
@@ -440,6 +447,7 @@
             self.attempts.poll_timeout(),
             self.open.poll_timeout(),
             self.plan_timeout(),
+            self.postponed.poll_timeout(),
             (!self.events.is_empty()).then_some(0),
         ];
         let first = timers.into_iter().flatten().min()?;
@@ -455,6 +463,7 @@
             return actions;
         }
         self.last_batch = Some(now);
+        self.submit_postponed(now);
         self.handle_plan_timeouts(now);
         self.handle_attempt_timeouts(now, &mut actions);
         self.handle_router_timer(now);
@@ -519,7 +528,7 @@
         })))
     }
 
-    fn close(&mut self, query: QueryId) -> Option<OpenQuery> {
+    pub(crate) fn close(&mut self, query: QueryId) -> Option<OpenQuery> {
         let open = self.open.remove(query)?;
         if self.must_not_repeat(open.request.class) && !open.not_executed() {
             self.executed_requests.record(&open.request.id, open.deadline);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 mod executed_requests;
 mod open_queries;
 mod planned_queries;
+mod postponed;
 mod query;
 mod router_actions;
 mod submission;
@@ -37,6 +38,7 @@
 
 pub use crate::core::{Core, CoreLimits};
 pub use planned_queries::TwoPhaseSettings;
+pub use postponed::ClientId;
 pub use query::{
     Action, AttemptId, AttemptRequest, CompletedQuery, Failure, PartRequest, PlanRequest, QueryRequest,
     QueryResponse, ResponseHandle,
--- a/crates/core/src/open_queries.rs
+++ b/crates/core/src/open_queries.rs
@@ -10,6 +10,7 @@
 use mallowgauge_router::{Micros, PartId, QueryId, ShardId};
 
 use crate::client_memory::ClientMemoryUse;
+use crate::postponed::{ClientId, ClientShares, Postponed};
 use crate::query::{PartRequest, QueryRequest, ResponseHandle};
 use crate::two_phase::Plan;
 use crate::value::Value;
@@ -46,12 +47,15 @@
 /// A query without a final response.
 #[derive(Debug)]
 pub(crate) struct OpenQuery {
+    pub(crate) client: ClientId,
     pub(crate) response_handle: ResponseHandle,
     /// Clients that sent the query again under the same id; only if the query requires permits.
     pub(crate) coalesced_waiters: Vec<ResponseHandle>,
     pub(crate) request: QueryRequest,
     /// When the client stops waiting.
     pub(crate) deadline: Micros,
+    /// Until when it may be postponed for another client's sake.
+    pub(crate) postponable_until: Micros,
     pub(crate) parts: Vec<PartState>,
     /// Number of attempts of all parts that may have been executed.
     pub(crate) possibly_executed_attempts: u32,
@@ -62,17 +66,16 @@
 
 impl OpenQuery {
     /// Creates a query of which nothing was sent.
-    pub(crate) fn new(
-        response_handle: ResponseHandle,
-        request: QueryRequest,
-        deadline: Micros,
-        memory: ClientMemoryUse,
-    ) -> Self {
+    pub(crate) fn new(submitted: Postponed) -> Self {
+        let Postponed { client, response_handle, request, deadline, postponable_until, memory, .. } =
+            submitted;
         Self {
+            client,
             response_handle,
             coalesced_waiters: Vec::new(),
             request,
             deadline,
+            postponable_until,
             parts: Vec::new(),
             possibly_executed_attempts: 0,
             plan: None,
@@ -160,6 +163,7 @@
     /// The two-phase queries.
     planned: BTreeSet<QueryId>,
     deadlines: BTreeSet<QueryDeadline>,
+    shares: ClientShares,
 }
 
 /// Number of entries of each kind in [`OpenQueries`].
@@ -224,9 +228,15 @@
         self.deadlines.insert(QueryDeadline { at: open.deadline, query });
         self.by_request_id.insert(Rc::clone(&open.request.id), query);
         self.by_response_handle.insert(open.response_handle, query);
+        self.shares.opened(open.client);
         self.queries.insert(query, open);
     }
 
+    /// Returns the number of open queries of each client.
+    pub(crate) fn shares(&self) -> &ClientShares {
+        &self.shares
+    }
+
     /// Adds a coalesced waiter to an open query.
     pub(crate) fn add_waiter(&mut self, query: QueryId, handle: ResponseHandle) {
         if let Some(open) = self.queries.get_mut(&query) {
@@ -292,6 +302,7 @@
     /// Closes a query.
     pub(crate) fn remove(&mut self, query: QueryId) -> Option<OpenQuery> {
         let open = self.queries.remove(&query)?;
+        self.shares.closed(open.client);
         self.by_request_id.remove(&open.request.id);
         self.by_response_handle.remove(&open.response_handle);
         for waiter in &open.coalesced_waiters {
--- a/crates/core/src/router_actions.rs
+++ b/crates/core/src/router_actions.rs
@@ -57,6 +57,7 @@
             router::Action::Respond { query, complete } => {
                 batch.other_actions.extend(self.respond(query, complete));
             }
+            router::Action::Reject { query, .. } if self.postpone(now, query) => {}
             router::Action::Reject { query, retry_after } => {
                 let not_executed = self.open.get(query).is_some_and(OpenQuery::not_executed);
                 let response = QueryResponse::Rejected { retry_after, not_executed };
--- a/crates/core/tests/resource_counts.rs
+++ b/crates/core/tests/resource_counts.rs
@@ -11,7 +11,7 @@
     BlockSelection, MissingSketchPolicy, PlanSpec, ScoutBudgetRule, SketchCacheLimits,
 };
 use mallowgauge_core::{
-    Action, AttemptId, AttemptRequest, Core, CoreLimits, PartRequest, PlanRequest, QueryRequest,
+    Action, AttemptId, AttemptRequest, ClientId, Core, CoreLimits, PartRequest, PlanRequest, QueryRequest,
     ResponseHandle, TwoPhaseSettings, Value,
 };
 use mallowgauge_router::{
@@ -23,6 +23,8 @@
 
 const RING_POSITIONS: u32 = 6;
 const DEADLINE: Micros = 4 * SECOND;
+/// The client of every second query.
+const MANY_QUERIES: ClientId = ClientId::Flight(0);
 
 /// The configuration of a history.
 #[derive(Clone, Copy, Debug)]
@@ -219,7 +221,9 @@
             plan: planned.then(|| PlanRequest { spec, scout: Rc::from(&b"scout"[..]) }),
             ..common::request(&format!("query-{id}"))
         };
-        if self.core.submit(self.now, handle, request).is_ok() {
+        // Every second query is one of the same client, beside which others are postponed.
+        let client = if self.rng.bool() { MANY_QUERIES } else { ClientId::from(handle) };
+        if self.core.submit_for(self.now, client, handle, request).is_ok() {
             assert!(self.waiting.insert(handle));
             if self.rng.u32(0..3) == 0 {
                 let after = self.rng.u64(0..2 * SECOND);
--- a/crates/edge/src/front/flight/batch_driver.rs
+++ b/crates/edge/src/front/flight/batch_driver.rs
@@ -19,6 +19,8 @@
 use super::status::{draining, rejection_status};
 use super::submission::SubmitResult;
 
+/// Queries of one stream that are started before other calls are driven.
+const MAX_CONSECUTIVE_STARTS: usize = 16;
 /// The waiter of a tag whose query has not been submitted yet.
 const NOT_SUBMITTED: WaiterId = WaiterId(0);
 
@@ -35,9 +37,19 @@
         service: &mut FlightService,
         core: &mut Core,
     ) -> Result<(), Status> {
+        let mut starts_left = MAX_CONSECUTIVE_STARTS;
         loop {
             let CallState::BatchStream(stream) = &mut self.state else { return Ok(()) };
             if stream.can_start() {
+                if !service.may_start_queries(id, core) {
+                    break;
+                }
+                if starts_left == 0 {
+                    // The connection is driven again, within its turn or in the next one.
+                    context.waker().wake_by_ref();
+                    break;
+                }
+                starts_left -= 1;
                 let Some(message) = stream.next_message() else { return Ok(()) };
                 match message {
                     BatchMessage::Query(tag, text) => {
--- a/crates/edge/src/front/flight/connection.rs
+++ b/crates/edge/src/front/flight/connection.rs
@@ -99,7 +99,6 @@
         &mut self,
         now: Micros,
         id: u64,
-        connection_of_call: &mut BTreeMap<u64, u64>,
         service: &mut FlightService,
         core: &mut Core,
     ) -> bool {
@@ -111,8 +110,7 @@
         while self.turn.count_poll() {
             self.flag.take();
             let waker = self.waker.clone();
-            let alive =
-                self.drive(now, id, &mut Context::from_waker(&waker), connection_of_call, service, core);
+            let alive = self.drive(now, id, &mut Context::from_waker(&waker), service, core);
             if !alive || !self.flag.take() {
                 return alive;
             }
@@ -125,7 +123,6 @@
         now: Micros,
         id: u64,
         context: &mut Context<'_>,
-        connection_of_call: &mut BTreeMap<u64, u64>,
         service: &mut FlightService,
         core: &mut Core,
     ) -> bool {
@@ -139,8 +136,8 @@
                 Poll::Ready(Ok(connection)) => self.state = State::Open(Box::new(connection)),
             }
         }
-        let open = self.accept_streams(now, id, context, connection_of_call, service);
-        self.drive_calls(now, context, connection_of_call, service, core);
+        let open = self.accept_streams(now, id, context, service);
+        self.drive_calls(now, context, service, core);
         open
     }
 
@@ -150,7 +147,6 @@
         now: Micros,
         id: u64,
         context: &mut Context<'_>,
-        connection_of_call: &mut BTreeMap<u64, u64>,
         service: &mut FlightService,
     ) -> bool {
         let State::Open(connection) = &mut self.state else { return true };
@@ -160,7 +156,7 @@
                 Poll::Ready(Some(Ok((request, respond)))) => {
                     if let Some(call) = accept(now, request, respond, service) {
                         let call_id = service.next_id();
-                        connection_of_call.insert(call_id, id);
+                        service.connection_of_call.insert(call_id, id);
                         self.calls.insert(call_id, call);
                     }
                 }
@@ -173,7 +169,6 @@
         &mut self,
         now: Micros,
         context: &mut Context<'_>,
-        connection_of_call: &mut BTreeMap<u64, u64>,
         service: &mut FlightService,
         core: &mut Core,
     ) {
@@ -181,7 +176,7 @@
         self.calls.retain(|&call_id, call| {
             call.drive(now, call_id, context, service, core);
             if call.is_finished() {
-                connection_of_call.remove(&call_id);
+                service.connection_of_call.remove(&call_id);
                 service.admission.call_ended();
             }
             !call.is_finished()
--- a/crates/edge/src/front/flight/mod.rs
+++ b/crates/edge/src/front/flight/mod.rs
@@ -57,12 +57,15 @@
 use crate::tls::{self, Acceptor, TlsError};
 use crate::token::SocketKind;
 
+/// How long a stream that waits for other clients' queries starts none, in microseconds.
+const YIELD_TIME: Micros = 20_000;
+
 /// The Flight frontend: its connections, and the state that their calls share.
 pub struct FlightFrontend {
     connections: BTreeMap<u64, Connection>,
     lingering: BTreeMap<u64, Lingering>,
-    /// The connection of each open call.
-    connection_of_call: BTreeMap<u64, u64>,
+    /// When connections whose streams wait for other clients' queries are driven again.
+    yielding_until: Option<Micros>,
     /// Connections whose turn has ended before their sockets blocked.
     more_to_read: BTreeSet<u64>,
     service: FlightService,
@@ -113,6 +116,8 @@
             polled_queries: PolledQueries::new(query_limits),
             batch_memory: MemoryBudget::new(limits.batch_bytes),
             runs: BTreeMap::new(),
+            connection_of_call: BTreeMap::new(),
+            yielding: BTreeSet::new(),
             waiters: BTreeMap::new(),
             sessions: Sessions::new(limits.sessions, SESSION_IDLE_TIME),
             authenticator: Authenticator::new(settings.users.clone(), key.clone(), settings.token_lifetime),
@@ -132,7 +137,7 @@
         Ok(Self {
             connections: BTreeMap::new(),
             lingering: BTreeMap::new(),
-            connection_of_call: BTreeMap::new(),
+            yielding_until: None,
             more_to_read: BTreeSet::new(),
             service,
             acceptor,
@@ -217,10 +222,13 @@
             }
         }
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        let alive = connection.handle_ready(now, id, &mut self.connection_of_call, &mut self.service, core);
+        let alive = connection.handle_ready(now, id, &mut self.service, core);
         if alive && connection.turn.has_ended() {
             self.more_to_read.insert(id);
         }
+        if !self.service.yielding.is_empty() {
+            self.yielding_until.get_or_insert(now + YIELD_TIME);
+        }
         if !alive {
             self.close(now, id, core);
         }
@@ -231,7 +239,7 @@
         while !self.service.outbox.is_empty() {
             let mut active = BTreeSet::new();
             for Delivery { target, outcome } in std::mem::take(&mut self.service.outbox) {
-                let Some(&id) = self.connection_of_call.get(&target.call) else { continue };
+                let Some(&id) = self.service.connection_of_call.get(&target.call) else { continue };
                 let connection = self.connections.get_mut(&id);
                 let call = connection.and_then(|connection| connection.calls.get_mut(&target.call));
                 if let Some(call) = call {
@@ -247,7 +255,7 @@
     fn close(&mut self, now: Micros, id: u64, core: &mut Core) {
         let Some(connection) = self.connections.remove(&id) else { return };
         for (call_id, mut call) in connection.calls {
-            self.connection_of_call.remove(&call_id);
+            self.service.connection_of_call.remove(&call_id);
             call.abandon_queries(&mut self.service, core);
             self.service.admission.call_ended();
         }
@@ -317,6 +325,7 @@
             .chain(idle)
             .chain(lingering)
             .chain(self.service.polled_queries.poll_timeout())
+            .chain(self.yielding_until)
             .min()
     }
 
@@ -326,6 +335,12 @@
         for id in std::mem::take(&mut self.more_to_read) {
             self.handle_ready(now, id, core);
         }
+        if self.yielding_until.is_some_and(|at| at <= now) {
+            self.yielding_until = None;
+            for id in std::mem::take(&mut self.service.yielding) {
+                self.handle_ready(now, id, core);
+            }
+        }
         for run in self.service.polled_queries.handle_timeout(now) {
             self.service.cancel_run(run, core);
         }
--- a/crates/edge/src/front/flight/service.rs
+++ b/crates/edge/src/front/flight/service.rs
@@ -1,6 +1,6 @@
 //! The state that all calls of the Flight frontend share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -8,7 +8,7 @@
 use mallowgauge_core::polled_queries::{PolledQueries, RunId, WaiterId};
 use mallowgauge_core::sessions::{SessionId, Sessions};
 use mallowgauge_core::stream_admission::StreamAdmission;
-use mallowgauge_core::QueryResponse;
+use mallowgauge_core::{ClientId, Core, QueryResponse};
 use mallowgauge_flight::grpc::Status;
 use mallowgauge_flight::seal;
 use mallowgauge_router::Micros;
@@ -56,6 +56,10 @@
     pub batch_memory: MemoryBudget,
     /// Queries submitted to the core.
     pub runs: BTreeMap<RunId, ActiveRun>,
+    /// The connection of each open call.
+    pub connection_of_call: BTreeMap<u64, u64>,
+    /// Connections with streams that start no queries while other clients' queries wait.
+    pub yielding: BTreeSet<u64>,
     /// The call behind each waiter.
     pub waiters: BTreeMap<WaiterId, OutcomeTarget>,
     /// Sessions with the options that clients have set.
@@ -87,6 +91,21 @@
 }
 
 impl FlightService {
+    /// Returns the client of a call: its connection.
+    pub fn client_of(&self, call: u64) -> ClientId {
+        ClientId::Flight(self.connection_of_call.get(&call).copied().unwrap_or(call))
+    }
+
+    /// Returns whether the streams of a call's connection may start queries now. If not, they are driven again.
+    pub fn may_start_queries(&mut self, call: u64, core: &Core) -> bool {
+        let client = self.client_of(call);
+        let must_yield = core.must_yield(client);
+        if let (true, ClientId::Flight(connection)) = (must_yield, client) {
+            self.yielding.insert(connection);
+        }
+        !must_yield
+    }
+
     /// Returns a unique id for a connection, call, run or waiter.
     pub fn next_id(&mut self) -> u64 {
         self.last_id += 1;
--- a/crates/edge/src/front/flight/submission.rs
+++ b/crates/edge/src/front/flight/submission.rs
@@ -87,7 +87,7 @@
         self.runs.insert(run, ActiveRun { class: request.class, key: key.clone(), only_waiter });
         self.add_waiter(waiter, call, tag, &key);
         let request = self.with_distinct_id(request, &key, core);
-        match core.submit(now, ResponseHandle::Flight(run.0), request) {
+        match core.submit_for(now, self.client_of(call), ResponseHandle::Flight(run.0), request) {
             Ok(()) => SubmitResult::Pending(waiter),
             Err(response) => {
                 self.waiters.remove(&waiter);
