Build the endpoint list of the core's tests in one place

Need: postponed.rs and client_disconnected.rs had the same list of one ready backend.

Change: common::one_ready_backend. No check has changed.

Result: both files' tests pass; clippy is clean.

--- a/crates/core/tests/client_disconnected.rs
+++ b/crates/core/tests/client_disconnected.rs
@@ -3,9 +3,7 @@
 mod common;
 
 use mallowgauge_core::{Action, AttemptId, Core, CoreLimits, QueryRequest, ResponseHandle};
-use mallowgauge_router::{
-    BackendId, Class, Endpoint, EndpointState, EndpointUpdate, Idempotency, Micros, Outcome, PartId,
-};
+use mallowgauge_router::{Class, Idempotency, Micros, Outcome, PartId};
 
 use common::{request, SECOND};
 
@@ -27,14 +25,7 @@
 
 /// Lists the only backend and returns how many permits are requested in the batches that follow.
 fn permit_requests(core: &mut Core) -> usize {
-    let backend = Endpoint {
-        backend: BackendId(0),
-        ring_position: 0,
-        state: EndpointState::Ready,
-        started_at: None,
-        zone: None,
-    };
-    core.endpoint_update(EndpointUpdate::Snapshot(vec![backend]));
+    core.endpoint_update(common::one_ready_backend());
     let batches = (1..100).map(|batch| START + batch * 10_000);
     batches
         .flat_map(|now| core.run_batch(now))
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -2,8 +2,8 @@
 
 use mallowgauge_core::{PartRequest, QueryRequest};
 use mallowgauge_router::{
-    Class, ClassId, DeploymentLimits, Discovery, Idempotency, Micros, RuleSettings, Settings, ShardId,
-    ShardLayout,
+    BackendId, Class, ClassId, DeploymentLimits, Discovery, Endpoint, EndpointState, EndpointUpdate,
+    Idempotency, Micros, RuleSettings, Settings, ShardId, ShardLayout,
 };
 
 /// Milliseconds in microseconds.
@@ -55,6 +55,18 @@
     }
 }
 
+/// Returns an endpoint list with one backend, which is ready.
+#[allow(dead_code)] // Not every file of tests lists a backend.
+pub fn one_ready_backend() -> EndpointUpdate {
+    EndpointUpdate::Snapshot(vec![Endpoint {
+        backend: BackendId(0),
+        ring_position: 0,
+        state: EndpointState::Ready,
+        started_at: None,
+        zone: None,
+    }])
+}
+
 /// Returns a request of the first class for one part.
 pub fn request(id: &str) -> QueryRequest {
     QueryRequest {
--- a/crates/core/tests/postponed.rs
+++ b/crates/core/tests/postponed.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use mallowgauge_core::{Action, ClientId, Core, CoreLimits, QueryRequest, QueryResponse, ResponseHandle};
-use mallowgauge_router::{BackendId, Endpoint, EndpointState, EndpointUpdate, Idempotency, Micros, Outcome};
+use mallowgauge_router::{Idempotency, Micros, Outcome};
 
 use common::{request, MS, SECOND};
 
@@ -17,14 +17,7 @@
     let limits = CoreLimits { max_open: 2 * CAPACITY as usize, shards: 1 };
     let settings = common::settings(vec![common::class(Idempotency::Idempotent)]);
     let mut core = Core::new(7, settings, vec!["search".to_owned()], limits).expect("valid settings");
-    let backend = Endpoint {
-        backend: BackendId(0),
-        ring_position: 0,
-        state: EndpointState::Ready,
-        started_at: None,
-        zone: None,
-    };
-    core.endpoint_update(EndpointUpdate::Snapshot(vec![backend]));
+    core.endpoint_update(common::one_ready_backend());
     core
 }
 
