Drive a client that has more to read once in an iteration, however often it became ready

Cause: HTTP connections with unread input stood in a list, once more each time their sockets became ready, and were driven as often as they stood there in every iteration. The list grew without end and took the bounded turns with it.

Change: the connections are sets.

--- a/crates/edge/src/front/http.rs
+++ b/crates/edge/src/front/http.rs
@@ -5,7 +5,7 @@
 mod input_reader;
 mod routes;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpStream;
 
 use mallowgauge_core::client_memory::ClientMemory;
@@ -49,10 +49,11 @@
     text_bytes_per_query: usize,
     /// The lifecycle phase of the process.
     phase: Phase,
-    /// Connections whose sockets may have more input.
-    more_to_read: Vec<u64>,
+    /// Connections whose sockets may have more input. Each is driven once in an iteration of the event loop, however often
+    /// its socket became ready meanwhile.
+    more_to_read: BTreeSet<u64>,
     /// Connections whose requests are unread for lack of memory.
-    awaiting_memory: Vec<u64>,
+    awaiting_memory: BTreeSet<u64>,
     reader: InputReader,
     /// Requests so far that got a 4xx status.
     malformed_requests: u64,
@@ -69,8 +70,8 @@
             next_id: 1,
             max_connections,
             phase: Phase::Starting,
-            more_to_read: Vec::new(),
-            awaiting_memory: Vec::new(),
+            more_to_read: BTreeSet::new(),
+            awaiting_memory: BTreeSet::new(),
             reader: InputReader::new(memory),
             malformed_requests: 0,
         }
@@ -160,8 +161,8 @@
         self.count_malformed_requests(malformed_requests.count, malformed_requests.last_status);
         match progress {
             Progress::Blocked => {}
-            Progress::MoreToRead => self.more_to_read.push(id),
-            Progress::AwaitingMemory => self.awaiting_memory.push(id),
+            Progress::MoreToRead => _ = self.more_to_read.insert(id),
+            Progress::AwaitingMemory => _ = self.awaiting_memory.insert(id),
             Progress::Closed => {
                 if awaits_response {
                     core.client_disconnected(ResponseHandle::Http(id));
--- a/crates/mallowgauge/tests/noisy_clients.rs
+++ b/crates/mallowgauge/tests/noisy_clients.rs
@@ -17,6 +17,9 @@
 const DURATION: Duration = Duration::from_secs(2);
 /// How long a usual client waits for its answer, in milliseconds.
 const DEADLINE_MS: u64 = 1_000;
+/// Senders, and how long a client waits beside them, as in the users' own runs.
+const SENDERS: usize = 6;
+const SHORT_DEADLINE_MS: u64 = 261;
 /// What an answer may be late by: the platform's slack, and what each time limit grows by on sockets.
 const SLACK: Duration = Duration::from_millis(20 + 50);
 /// HTTP/2's connection preface, and settings without entries.
@@ -75,17 +78,23 @@
         if Instant::now() > until {
             break;
         }
-        let mut client = test_bed.client();
-        let asked_at = Instant::now();
-        client.send(query(&format!("usual-{number}"), "search", DEADLINE_MS, &[0, 1]));
-        let (status, body) = client.response().expect("an answer");
-        let took = asked_at.elapsed();
-        assert!(took < Duration::from_millis(DEADLINE_MS) + SLACK, "{status} after {took:?}");
+        let (status, body) = ask_in_time(test_bed, number, DEADLINE_MS);
         assert_eq!(status, 200, "{body}");
         std::thread::sleep(Duration::from_millis(20));
     }
 }
 
+/// Asks one query over HTTP, and checks that its final answer comes before its client's time is up.
+fn ask_in_time(test_bed: &TestBed, number: u64, deadline_ms: u64) -> (u16, String) {
+    let mut client = test_bed.client();
+    let asked_at = Instant::now();
+    client.send(query(&format!("usual-{number}"), "search", deadline_ms, &[0, 1]));
+    let (status, body) = client.response().expect("an answer");
+    let took = asked_at.elapsed();
+    assert!(took < Duration::from_millis(deadline_ms) + SLACK, "{status} after {took:?}");
+    (status, body)
+}
+
 // Guards against clients that keep others from their answers with small requests without pause: requests for paths that do
 // not exist, and queries of ever new classes.
 #[test]
@@ -105,6 +114,28 @@
     assert_answers_in_time(&test_bed);
 }
 
+// Guards the picture of the users' own runs, with their number of senders and their clients' time: answers came late.
+#[test]
+fn clients_with_little_time_are_answered_in_time_beside_senders_without_pause() {
+    let test_bed = start();
+    let senders = Senders::default();
+    for _ in 0..SENDERS {
+        senders.start(test_bed.program.http, b"", || {
+            b"POST /api HTTP/1.1\r\nReq-Kind: search\r\nContent-Length: 2\r\n\r\n{}".repeat(20)
+        });
+    }
+    let until = Instant::now() + 2 * DURATION;
+    for number in 0.. {
+        if Instant::now() > until {
+            break;
+        }
+        let (status, body) = ask_in_time(&test_bed, number, SHORT_DEADLINE_MS);
+        // With so little time a query may be refused.
+        assert!([200, 503].contains(&status), "{status} {body}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 // Guards against one Flight client that stops the program with frames without content (review/7), and with calls.
 #[test]
 fn frames_without_pause_do_not_delay_other_clients() {
