Give each place-hold of a discovery test an id of its own

Cause: malformed_and_endless_responses_change_nothing asked seven place-holds under the same id, one after the other was answered. The protocol gives every request a new id, and clients' retries too, so the test asked for what must not be.

Change: the place-holds are numbered. What the test demands is as strict as before: after each malformed response a place-hold is sent and answered.

--- a/crates/mallowgauge/tests/discovery_crossings.rs
+++ b/crates/mallowgauge/tests/discovery_crossings.rs
@@ -200,14 +200,15 @@
     let endless_head = format!("HTTP/1.1 200 OK\r\n{}", "X: y\r\n".repeat(4000));
     let too_long = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 2 << 20);
     let endless_body = without_length(&" ".repeat((1 << 20) + 1));
-    for response in [truncated, complete, empty, noise, endless_head, too_long, endless_body] {
+    let responses = [truncated, complete, empty, noise, endless_head, too_long, endless_body];
+    for (number, response) in responses.iter().enumerate() {
         // The program may close the connection before all of it is written.
         let _ = std::io::Write::write_all(&mut watch.0, response.as_bytes());
         assert!(watch.is_closed_by_peer(), "the connection of a malformed response is closed");
         watch = accept(&test_bed.discovery);
         let head = watch.head();
         assert!(head.contains("?index=1&"), "nothing was applied: {head}");
-        let (_, mut connection, mut client) = submit(&test_bed, "1");
+        let (_, mut connection, mut client) = submit(&test_bed, &number.to_string());
         answer_part(&mut connection, &mut client);
     }
 }
